--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,355 @@
+#include "http_client.h"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+#include <charconv>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace turmericline {
+
+namespace {
+
+struct EasyDeleter
+{
+    void operator()(CURL *easy) const
+    {
+        curl_easy_cleanup(easy);
+    }
+};
+
+struct ListDeleter
+{
+    void operator()(curl_slist *list) const
+    {
+        curl_slist_free_all(list);
+    }
+};
+
+struct MultiDeleter
+{
+    void operator()(CURLM *multi) const
+    {
+        curl_multi_cleanup(multi);
+    }
+};
+
+/** One running request. */
+struct Transfer
+{
+    HttpClient::RequestId id = 0;
+    HttpClientRequest request;
+    HttpClientHandlers handlers;
+    std::unique_ptr<CURL, EasyDeleter> easy;
+    std::unique_ptr<curl_slist, ListDeleter> headerList;
+    HttpHeaders answerHeaders;
+    int status = 0;
+    bool headReported = false;
+};
+
+void reportHead(Transfer &transfer)
+{
+    if (transfer.headReported) {
+        return;
+    }
+    transfer.headReported = true;
+    if (transfer.handlers.onHead) {
+        transfer.handlers.onHead(transfer.status, transfer.answerHeaders);
+    }
+}
+
+std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    std::string_view line(data, size * count);
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+        line.remove_suffix(1);
+    }
+    if (line.starts_with("HTTP/")) {
+        // A new status line starts a new head, as after "100 Continue".
+        transfer.answerHeaders.clear();
+        const auto space = line.find(' ');
+        if (space != std::string_view::npos && line.size() >= space + 4) {
+            std::from_chars(line.data() + space + 1, line.data() + space + 4, transfer.status);
+        }
+    } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+        auto value = line.substr(colon + 1);
+        while (!value.empty() && value.front() == ' ') {
+            value.remove_prefix(1);
+        }
+        transfer.answerHeaders.emplace_back(line.substr(0, colon), value);
+    } else if (line.empty() && transfer.status >= 200) {
+        reportHead(transfer);
+    }
+    return size * count;
+}
+
+std::size_t onBodyChunk(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &transfer = *static_cast<Transfer *>(user);
+    if (transfer.handlers.onBody) {
+        transfer.handlers.onBody({data, size * count});
+    }
+    return size * count;
+}
+
+} // namespace
+
+/** A descriptor of libcurl that is watched through Asio without owning it. */
+struct WatchedSocket
+{
+    asio::posix::stream_descriptor descriptor;
+    int action = 0; ///< CURL_POLL_* wanted.
+    bool readWaiting = false;
+    bool writeWaiting = false;
+
+    WatchedSocket(asio::io_context &io, int fd)
+        : descriptor(io, fd)
+    {
+    }
+    ~WatchedSocket()
+    {
+        descriptor.release(); // libcurl closes its own sockets.
+    }
+};
+
+class HttpClient::Impl
+{
+public:
+    explicit Impl(asio::io_context &io)
+        : m_io(io)
+        , m_timer(io)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi.get(), CURLMOPT_SOCKETFUNCTION, &Impl::socketCallback);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_TIMERFUNCTION, &Impl::timerCallback);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, 256L);
+    }
+
+    ~Impl()
+    {
+        *m_alive = false;
+        for (auto &[id, it] : m_transfers) {
+            curl_multi_remove_handle(m_multi.get(), it->easy.get());
+        }
+        m_transfers.clear();
+        m_multi.reset();
+    }
+
+    RequestId start(HttpClientRequest request, HttpClientHandlers handlers)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->id = ++m_lastId;
+        transfer->request = std::move(request);
+        transfer->handlers = std::move(handlers);
+        configure(*transfer);
+        CURL *easy = transfer->easy.get();
+        const auto id = transfer->id;
+        m_transfers.emplace(id, std::move(transfer));
+        curl_multi_add_handle(m_multi.get(), easy);
+        return id;
+    }
+
+    void cancel(RequestId id)
+    {
+        const auto it = m_transfers.find(id);
+        if (it == m_transfers.end()) {
+            return;
+        }
+        if (m_insideCurl) {
+            // libcurl must not be called back from its own callbacks: detach now, remove once it has returned.
+            it->second->handlers = {};
+            asio::post(m_io, [this, id, alive = m_alive] {
+                if (*alive) {
+                    cancel(id);
+                }
+            });
+            return;
+        }
+        curl_multi_remove_handle(m_multi.get(), it->second->easy.get());
+        m_transfers.erase(it);
+    }
+
+    std::size_t activeCount() const
+    {
+        return m_transfers.size();
+    }
+
+private:
+    void configure(Transfer &transfer)
+    {
+        transfer.easy.reset(curl_easy_init());
+        CURL *easy = transfer.easy.get();
+        auto &request = transfer.request;
+        curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, 16384L);
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connectTimeout.count()));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
+        if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+        }
+        if (request.maxBytes != 0) {
+            curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(request.maxBytes));
+        }
+        curl_slist *list = nullptr;
+        std::string line;
+        for (const auto &[name, value] : request.headers) {
+            line.assign(name).append(": ").append(value);
+            list = curl_slist_append(list, line.c_str());
+        }
+        list = curl_slist_append(list, "Expect:"); // Avoids the one second wait for "100 Continue".
+        transfer.headerList.reset(list);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBodyChunk);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    }
+
+    static int socketCallback(CURL *, curl_socket_t fd, int action, void *user, void *)
+    {
+        static_cast<Impl *>(user)->watch(fd, action);
+        return 0;
+    }
+
+    static int timerCallback(CURLM *, long timeoutMs, void *user)
+    {
+        static_cast<Impl *>(user)->setTimer(timeoutMs);
+        return 0;
+    }
+
+    void watch(curl_socket_t fd, int action)
+    {
+        if (action == CURL_POLL_REMOVE) {
+            m_sockets.erase(fd);
+            return;
+        }
+        auto &socket = m_sockets[fd];
+        if (!socket) {
+            socket = std::make_shared<WatchedSocket>(m_io, fd);
+        }
+        socket->action = action;
+        arm(fd, socket);
+    }
+
+    void arm(curl_socket_t fd, const std::shared_ptr<WatchedSocket> &socket)
+    {
+        const auto wait = [&](asio::posix::stream_descriptor::wait_type type, int poll, int select, bool &waiting) {
+            if ((socket->action & poll) == 0 || waiting) {
+                return;
+            }
+            waiting = true;
+            socket->descriptor.async_wait(
+                type, [this, fd, select, &waiting, weak = std::weak_ptr(socket), alive = m_alive](asio::error_code ec) {
+                    const auto locked = weak.lock();
+                    if (!*alive || !locked) {
+                        return;
+                    }
+                    waiting = false;
+                    if (ec) {
+                        return;
+                    }
+                    drive(fd, select);
+                    if (const auto it = m_sockets.find(fd); it != m_sockets.end() && it->second == locked) {
+                        arm(fd, locked);
+                    }
+                });
+        };
+        wait(asio::posix::stream_descriptor::wait_read, CURL_POLL_IN, CURL_CSELECT_IN, socket->readWaiting);
+        wait(asio::posix::stream_descriptor::wait_write, CURL_POLL_OUT, CURL_CSELECT_OUT, socket->writeWaiting);
+    }
+
+    void setTimer(long timeoutMs)
+    {
+        if (timeoutMs < 0) {
+            m_timer.cancel();
+            return;
+        }
+        m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
+        m_timer.async_wait([this, alive = m_alive](asio::error_code ec) {
+            if (!ec && *alive) {
+                drive(CURL_SOCKET_TIMEOUT, 0);
+            }
+        });
+    }
+
+    void drive(curl_socket_t fd, int select)
+    {
+        int running = 0;
+        m_insideCurl = true;
+        curl_multi_socket_action(m_multi.get(), fd, select, &running);
+        m_insideCurl = false;
+        finishTransfers();
+    }
+
+    void finishTransfers()
+    {
+        int left = 0;
+        while (CURLMsg *msg = curl_multi_info_read(m_multi.get(), &left)) {
+            if (msg->msg != CURLMSG_DONE) {
+                continue;
+            }
+            Transfer *transfer = nullptr;
+            curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &transfer);
+            const CURLcode code = msg->data.result;
+            HttpClientResult result;
+            result.complete = code == CURLE_OK;
+            result.status = transfer->status;
+            result.sent = code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST;
+            if (code != CURLE_OK) {
+                result.error = curl_easy_strerror(code);
+            }
+            const auto owned = std::move(m_transfers.at(transfer->id));
+            m_transfers.erase(transfer->id);
+            curl_multi_remove_handle(m_multi.get(), owned->easy.get());
+            if (owned->handlers.onDone) {
+                owned->handlers.onDone(result);
+            }
+        }
+    }
+
+    asio::io_context &m_io;
+    asio::steady_timer m_timer;
+    std::unique_ptr<CURLM, MultiDeleter> m_multi;
+    std::unordered_map<RequestId, std::unique_ptr<Transfer>> m_transfers;
+    std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    RequestId m_lastId = 0;
+    bool m_insideCurl = false;
+};
+
+HttpClient::HttpClient(asio::io_context &io)
+    : m_impl(std::make_unique<Impl>(io))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::RequestId HttpClient::start(HttpClientRequest request, HttpClientHandlers handlers)
+{
+    return m_impl->start(std::move(request), std::move(handlers));
+}
+
+void HttpClient::cancel(RequestId id)
+{
+    m_impl->cancel(id);
+}
+
+std::size_t HttpClient::activeCount() const
+{
+    return m_impl->activeCount();
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/tests/unit_http_test.cpp
@@ -0,0 +1,113 @@
+#include "http_client.h"
+#include "http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+
+/** Guards the HTTP server and client wrappers: a reply, a streamed answer, and a refused connection. */
+class HttpTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpTest);
+    CPPUNIT_TEST(repliesWithBody);
+    CPPUNIT_TEST(streamsChunksInOrder);
+    CPPUNIT_TEST(refusedConnectionIsNotSent);
+    CPPUNIT_TEST(cancelInsideHandlerIsSafe);
+    CPPUNIT_TEST_SUITE_END();
+
+    asio::io_context m_io;
+
+    static HttpServer::Handler echo()
+    {
+        return [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            if (request.path == "/stream") {
+                responder->beginStream(200, {{"Content-Type", "text/event-stream"}});
+                responder->write("a", {});
+                responder->write("b", {});
+                responder->endStream();
+                return;
+            }
+            responder->reply(200, {{"X-Method", std::string(request.method)}}, std::string(request.body));
+        };
+    }
+
+    HttpClientResult run(HttpClient &client, HttpClientRequest request, std::string &body)
+    {
+        HttpClientResult result;
+        bool done = false;
+        client.start(std::move(request),
+                     {{},
+                      [&](std::string_view chunk) {
+                          body += chunk;
+                      },
+                      [&](const HttpClientResult &r) {
+                          result = r;
+                          done = true;
+                      }});
+        while (!done) {
+            m_io.run_one();
+        }
+        return result;
+    }
+
+public:
+    void repliesWithBody()
+    {
+        HttpServer server(m_io, {}, echo());
+        HttpClient client(m_io);
+        std::string body;
+        const auto result
+            = run(client, {"POST", "http://127.0.0.1:" + std::to_string(server.port()) + "/x?q=1", {}, "hello"}, body);
+        CPPUNIT_ASSERT(result.complete);
+        CPPUNIT_ASSERT_EQUAL(200, result.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), body);
+    }
+
+    void streamsChunksInOrder()
+    {
+        HttpServer server(m_io, {}, echo());
+        HttpClient client(m_io);
+        std::string body;
+        const auto result
+            = run(client, {"GET", "http://127.0.0.1:" + std::to_string(server.port()) + "/stream", {}, ""}, body);
+        CPPUNIT_ASSERT(result.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), body);
+    }
+
+    void refusedConnectionIsNotSent()
+    {
+        std::uint16_t port = 0;
+        {
+            HttpServer server(m_io, {}, echo());
+            port = server.port();
+            server.stopListening();
+        }
+        HttpClient client(m_io);
+        std::string body;
+        const auto result = run(client, {"GET", "http://127.0.0.1:" + std::to_string(port) + "/", {}, ""}, body);
+        CPPUNIT_ASSERT(!result.complete);
+        CPPUNIT_ASSERT(!result.sent);
+    }
+
+    void cancelInsideHandlerIsSafe()
+    {
+        HttpServer server(m_io, {}, echo());
+        HttpClient client(m_io);
+        bool called = false;
+        HttpClient::RequestId id = 0;
+        id = client.start({"GET", "http://127.0.0.1:" + std::to_string(server.port()) + "/stream", {}, ""},
+                          {{},
+                           [&](std::string_view) {
+                               called = true;
+                               client.cancel(id);
+                           },
+                           [](const HttpClientResult &) {
+                               CPPUNIT_FAIL("a cancelled request must not report its end");
+                           }});
+        while (!called || client.activeCount() != 0) {
+            m_io.run_one();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
