--- /dev/null
+++ b/src/h2_client.cpp
@@ -0,0 +1,452 @@
+#include "h2_client.h"
+
+#include "h2_connection.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <openssl/ssl.h>
+
+#include <charconv>
+#include <unordered_map>
+#include <vector>
+
+namespace turmericline {
+
+namespace {
+
+/** A request from start() to its end. */
+struct ClientStream
+{
+    H2Request request;
+    H2Handlers handlers;
+    std::int32_t wireId = 0; ///< 0 until it was submitted to a connection.
+    int status = 0;
+    HttpHeaders headers;
+    HttpHeaders trailers;
+    bool headSeen = false;
+    bool ended = false;
+};
+
+} // namespace
+
+class H2ClientConnection final : public H2Connection
+{
+public:
+    H2ClientConnection(TlsStream stream, H2Client::Impl &owner)
+        : H2Connection(std::move(stream), Side::Client)
+        , m_owner(&owner)
+    {
+    }
+
+    std::int32_t submit(H2Request &request)
+    {
+        HttpHeaders all{
+            {":method", request.method}, {":scheme", "https"}, {":path", request.path}, {":authority", "peer"}};
+        all.insert(all.end(), request.headers.begin(), request.headers.end());
+        const auto nva = toNameValues(all);
+        const auto provider = bodyProvider();
+        const bool hasBody = !request.body.empty();
+        const auto id = nghttp2_submit_request(
+            session(), nullptr, nva.data(), nva.size(), hasBody ? &provider : nullptr, nullptr);
+        if (id > 0 && hasBody) {
+            queueBody(id, std::move(request.body));
+            endBody(id, {});
+        }
+        scheduleFlush();
+        return id;
+    }
+
+    void reset(std::int32_t id)
+    {
+        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        scheduleFlush();
+    }
+
+    void consume(std::int32_t id, std::size_t bytes)
+    {
+        nghttp2_session_consume(session(), id, bytes);
+        scheduleFlush();
+    }
+
+    void ping()
+    {
+        nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
+        scheduleFlush();
+    }
+
+    /** True if the peer announced that it processes no further streams. */
+    bool isGoingAway()
+    {
+        return nghttp2_session_check_request_allowed(session()) == 0;
+    }
+
+    void detach()
+    {
+        m_owner = nullptr;
+    }
+
+protected:
+    void onHeader(std::int32_t id, std::string_view name, std::string_view value) override;
+    void onHeadersEnd(std::int32_t id, bool isTrailer) override;
+    void onData(std::int32_t id, std::string_view data) override;
+    void onStreamEnd(std::int32_t id) override;
+    void onStreamClosed(std::int32_t id, std::uint32_t errorCode) override;
+    void onPong() override;
+    void onClosed(const std::string &reason) override;
+
+private:
+    H2Client::Impl *m_owner;
+};
+
+struct H2Client::Impl : public std::enable_shared_from_this<H2Client::Impl>
+{
+    asio::io_context &io;
+    PeerTls &tls;
+    std::string address;
+    H2ClientConfig config;
+    std::shared_ptr<H2ClientConnection> connection;
+    bool dialling = false;
+    bool stopped = false;
+    std::unordered_map<StreamId, ClientStream> streams;
+    std::unordered_map<std::int32_t, StreamId> byWireId;
+    StreamId lastId = 0;
+    asio::steady_timer pingTimer;
+    std::chrono::steady_clock::time_point lastHeard;
+    bool pingScheduled = false;
+
+    Impl(asio::io_context &context, PeerTls &peerTls, std::string addr, H2ClientConfig cfg)
+        : io(context)
+        , tls(peerTls)
+        , address(std::move(addr))
+        , config(cfg)
+        , pingTimer(context)
+    {
+    }
+
+    ClientStream *find(std::int32_t wireId)
+    {
+        lastHeard = std::chrono::steady_clock::now();
+        const auto it = byWireId.find(wireId);
+        return it == byWireId.end() ? nullptr : &streams.at(it->second);
+    }
+
+    void finish(StreamId id, const H2Result &result)
+    {
+        const auto it = streams.find(id);
+        if (it == streams.end()) {
+            return;
+        }
+        const auto handlers = std::move(it->second.handlers);
+        byWireId.erase(it->second.wireId);
+        streams.erase(it);
+        if (handlers.onDone) {
+            handlers.onDone(result);
+        }
+    }
+
+    /** Ends every stream; only those that were never submitted are certainly not processed. */
+    void failAll(const std::string &reason)
+    {
+        std::vector<std::pair<StreamId, bool>> ids;
+        for (const auto &[id, it] : streams) {
+            ids.emplace_back(id, it.wireId != 0);
+        }
+        for (const auto &[id, sent] : ids) {
+            finish(id, {false, sent, {}, reason});
+        }
+    }
+
+    void submit(ClientStream &stream, StreamId id)
+    {
+        const auto wireId = connection->submit(stream.request);
+        if (wireId <= 0) {
+            asio::post(io, [self = shared_from_this(), id] {
+                self->finish(id, {false, false, {}, "stream limit of the connection reached"});
+            });
+            return;
+        }
+        stream.wireId = wireId;
+        byWireId.emplace(wireId, id);
+        schedulePing();
+    }
+
+    void submitWaiting()
+    {
+        for (auto &[id, it] : streams) {
+            if (it.wireId == 0) {
+                submit(it, id);
+            }
+        }
+    }
+
+    void dial();
+    void adopt(TlsStream stream);
+    void schedulePing();
+};
+
+void H2ClientConnection::onHeader(std::int32_t id, std::string_view name, std::string_view value)
+{
+    auto *stream = m_owner != nullptr ? m_owner->find(id) : nullptr;
+    if (stream == nullptr) {
+        return;
+    }
+    if (name == ":status") {
+        std::from_chars(value.data(), value.data() + value.size(), stream->status);
+    } else {
+        (stream->headSeen ? stream->trailers : stream->headers).emplace_back(name, value);
+    }
+}
+
+void H2ClientConnection::onHeadersEnd(std::int32_t id, bool)
+{
+    auto *stream = m_owner != nullptr ? m_owner->find(id) : nullptr;
+    if (stream == nullptr || stream->headSeen) {
+        return;
+    }
+    stream->headSeen = true;
+    if (const auto handler = stream->handlers.onHead) {
+        const auto headers = std::move(stream->headers);
+        handler(stream->status, headers);
+    }
+}
+
+void H2ClientConnection::onData(std::int32_t id, std::string_view data)
+{
+    auto *stream = m_owner != nullptr ? m_owner->find(id) : nullptr;
+    if (stream == nullptr || !stream->handlers.onBody) {
+        nghttp2_session_consume(session(), id, data.size());
+        return;
+    }
+    const auto handler = stream->handlers.onBody; // Copied, because the handler may cancel the stream.
+    handler(data);
+}
+
+void H2ClientConnection::onStreamEnd(std::int32_t id)
+{
+    if (auto *stream = m_owner != nullptr ? m_owner->find(id) : nullptr) {
+        stream->ended = true;
+    }
+}
+
+void H2ClientConnection::onStreamClosed(std::int32_t id, std::uint32_t errorCode)
+{
+    auto *stream = m_owner != nullptr ? m_owner->find(id) : nullptr;
+    if (stream == nullptr) {
+        return;
+    }
+    H2Result result;
+    result.complete = stream->ended && errorCode == NGHTTP2_NO_ERROR;
+    // RFC 9113 section 8.7: a refused stream, or one above the last id of a GOAWAY, was not processed.
+    result.sent = errorCode != NGHTTP2_REFUSED_STREAM;
+    result.trailers = std::move(stream->trailers);
+    if (!result.complete) {
+        result.error = std::string("stream reset: ") + nghttp2_http2_strerror(errorCode);
+    }
+    m_owner->finish(m_owner->byWireId.at(id), result);
+}
+
+void H2ClientConnection::onPong()
+{
+    if (m_owner != nullptr) {
+        m_owner->lastHeard = std::chrono::steady_clock::now();
+    }
+}
+
+void H2ClientConnection::onClosed(const std::string &reason)
+{
+    if (m_owner == nullptr) {
+        return;
+    }
+    const auto owner = m_owner->shared_from_this();
+    m_owner = nullptr;
+    owner->connection.reset();
+    owner->failAll(reason);
+}
+
+void H2Client::Impl::dial()
+{
+    dialling = true;
+    const auto parsed = parseAddress(address);
+    asio::error_code ec;
+    const auto ip = asio::ip::make_address(parsed ? parsed.value->first : "", ec);
+    if (!parsed || ec) {
+        asio::post(io, [self = shared_from_this()] {
+            self->dialling = false;
+            self->failAll("invalid address " + self->address);
+        });
+        return;
+    }
+    auto stream = std::make_shared<TlsStream>(io, tls.clientContext());
+    auto timer = std::make_shared<asio::steady_timer>(io, config.connectTimeout);
+    timer->async_wait([stream](asio::error_code timerError) {
+        if (!timerError) {
+            asio::error_code ignored;
+            stream->lowest_layer().close(ignored);
+        }
+    });
+    const auto fail = [self = shared_from_this(), timer](const std::string &what) {
+        timer->cancel();
+        self->dialling = false;
+        self->failAll("cannot connect to " + self->address + ": " + what);
+    };
+    stream->lowest_layer().async_connect(
+        {ip, parsed.value->second}, [self = shared_from_this(), stream, timer, fail](asio::error_code connectError) {
+            if (connectError) {
+                fail(connectError.message());
+                return;
+            }
+            asio::error_code ignored;
+            stream->lowest_layer().set_option(asio::ip::tcp::no_delay(true), ignored);
+            stream->async_handshake(asio::ssl::stream_base::client,
+                                    [self, stream, timer, fail](asio::error_code handshakeError) {
+                                        if (handshakeError) {
+                                            fail(handshakeError.message());
+                                            return;
+                                        }
+                                        // Resumption is off, so a reused session means that the key was used.
+                                        if (SSL_session_reused(stream->native_handle()) != 1) {
+                                            fail("peer did not use the pre-shared key");
+                                            return;
+                                        }
+                                        timer->cancel();
+                                        self->dialling = false;
+                                        self->adopt(std::move(*stream));
+                                    });
+        });
+}
+
+void H2Client::Impl::adopt(TlsStream stream)
+{
+    if (stopped) {
+        return;
+    }
+    connection = std::make_shared<H2ClientConnection>(std::move(stream), *this);
+    lastHeard = std::chrono::steady_clock::now();
+    connection->start();
+    submitWaiting();
+}
+
+void H2Client::Impl::schedulePing()
+{
+    if (pingScheduled || stopped) {
+        return;
+    }
+    pingScheduled = true;
+    pingTimer.expires_after(config.pingInterval);
+    pingTimer.async_wait([weak = weak_from_this()](asio::error_code ec) {
+        const auto self = weak.lock();
+        if (!self || ec) {
+            return;
+        }
+        self->pingScheduled = false;
+        if (!self->connection || self->byWireId.empty()) {
+            return;
+        }
+        const auto silence = std::chrono::steady_clock::now() - self->lastHeard;
+        if (silence > self->config.pingTimeout) {
+            const auto lost = self->connection;
+            lost->close("peer does not answer");
+            return;
+        }
+        if (silence >= self->config.pingInterval) {
+            self->connection->ping();
+        }
+        self->schedulePing();
+    });
+}
+
+H2Client::H2Client(asio::io_context &io, PeerTls &tls, std::string address, H2ClientConfig config)
+    : m_impl(std::make_shared<Impl>(io, tls, std::move(address), config))
+{
+}
+
+H2Client::~H2Client()
+{
+    m_impl->stopped = true;
+    m_impl->pingTimer.cancel();
+    m_impl->streams.clear();
+    m_impl->byWireId.clear();
+    if (const auto open = m_impl->connection) {
+        open->detach();
+        open->close("client stopped");
+    }
+}
+
+H2Client::StreamId H2Client::start(H2Request request, H2Handlers handlers)
+{
+    auto &impl = *m_impl;
+    const auto id = ++impl.lastId;
+    auto &stream = impl.streams[id];
+    stream.request = std::move(request);
+    stream.handlers = std::move(handlers);
+    if (impl.connection && impl.connection->isGoingAway()) {
+        // The old connection finishes its streams; new ones need a new connection, which the peer may refuse.
+        asio::post(impl.io, [weak = std::weak_ptr(m_impl), id] {
+            if (const auto self = weak.lock()) {
+                self->finish(id, {false, false, {}, "peer is draining"});
+            }
+        });
+    } else if (impl.connection) {
+        impl.submit(stream, id);
+    } else if (!impl.dialling) {
+        impl.dial();
+    }
+    return id;
+}
+
+void H2Client::cancel(StreamId id)
+{
+    auto &impl = *m_impl;
+    const auto it = impl.streams.find(id);
+    if (it == impl.streams.end()) {
+        return;
+    }
+    if (it->second.wireId != 0 && impl.connection) {
+        impl.connection->reset(it->second.wireId);
+    }
+    impl.byWireId.erase(it->second.wireId);
+    impl.streams.erase(it);
+}
+
+void H2Client::consume(StreamId id, std::size_t bytes)
+{
+    const auto it = m_impl->streams.find(id);
+    if (it != m_impl->streams.end() && it->second.wireId != 0 && m_impl->connection) {
+        m_impl->connection->consume(it->second.wireId, bytes);
+    }
+}
+
+bool H2Client::isConnected() const
+{
+    return m_impl->connection != nullptr;
+}
+
+std::size_t H2Client::activeCount() const
+{
+    return m_impl->streams.size();
+}
+
+Result<std::pair<std::string, std::uint16_t>> parseAddress(std::string_view text)
+{
+    using Address = std::pair<std::string, std::uint16_t>;
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return Result<Address>::fail("expected IP:PORT");
+    }
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    const auto port = text.substr(colon + 1);
+    std::uint16_t n = 0;
+    const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), n);
+    asio::error_code addressError;
+    asio::ip::make_address(std::string(host), addressError);
+    if (ec != std::errc() || end != port.data() + port.size() || addressError) {
+        return Result<Address>::fail("expected IP:PORT");
+    }
+    return Result<Address>::ok({std::string(host), n});
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/peer_tls.cpp
@@ -0,0 +1,122 @@
+#include "peer_tls.h"
+
+#include <openssl/ssl.h>
+
+#include <cstring>
+#include <stdexcept>
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::size_t minSecretBytes = 16;
+constexpr std::size_t maxSecretBytes = 64;
+constexpr std::size_t maxNameBytes = 64;
+
+using KeyList = std::vector<PeerKey>;
+
+int keyListIndex()
+{
+    static const int index = SSL_CTX_get_ex_new_index(0, nullptr, nullptr, nullptr, nullptr);
+    return index;
+}
+
+const KeyList *keysOf(SSL *ssl)
+{
+    return static_cast<const KeyList *>(SSL_CTX_get_ex_data(SSL_get_SSL_CTX(ssl), keyListIndex()));
+}
+
+unsigned int copySecret(const PeerKey &key, unsigned char *buf, unsigned int size)
+{
+    if (key.secret.size() > size) {
+        return 0;
+    }
+    std::memcpy(buf, key.secret.data(), key.secret.size());
+    return static_cast<unsigned int>(key.secret.size());
+}
+
+unsigned int
+clientKey(SSL *ssl, const char *, char *identity, unsigned int idSize, unsigned char *buf, unsigned int size)
+{
+    const auto &key = keysOf(ssl)->front();
+    if (key.name.size() + 1 > idSize) {
+        return 0;
+    }
+    std::memcpy(identity, key.name.c_str(), key.name.size() + 1);
+    return copySecret(key, buf, size);
+}
+
+unsigned int serverKey(SSL *ssl, const char *identity, unsigned char *buf, unsigned int size)
+{
+    for (const auto &it : *keysOf(ssl)) {
+        if (it.name == identity) {
+            return copySecret(it, buf, size);
+        }
+    }
+    return 0; // An unknown identity fails the handshake, because the server has no certificate to fall back to.
+}
+
+void configure(asio::ssl::context &context, const KeyList &keys)
+{
+    SSL_CTX *native = context.native_handle();
+    SSL_CTX_set_min_proto_version(native, TLS1_3_VERSION);
+    // The pre-shared key callbacks imply SHA-256, so the suite has to use it.
+    SSL_CTX_set_ciphersuites(native, "TLS_AES_128_GCM_SHA256");
+    SSL_CTX_set_num_tickets(native, 0);
+    SSL_CTX_set_ex_data(native, keyListIndex(), const_cast<KeyList *>(&keys));
+    // Small record buffers are released between records, which matters with hundreds of idle peers.
+    SSL_CTX_set_mode(native, SSL_MODE_RELEASE_BUFFERS);
+}
+
+int hexValue(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    if (c >= 'a' && c <= 'f') {
+        return c - 'a' + 10;
+    }
+    return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+}
+
+} // namespace
+
+Result<PeerKey> parsePeerKey(std::string_view text)
+{
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos || colon == 0 || colon > maxNameBytes) {
+        return Result<PeerKey>::fail("expected name:hex with a name of 1 to 64 characters");
+    }
+    const auto hex = text.substr(colon + 1);
+    if (hex.size() % 2 != 0 || hex.size() < 2 * minSecretBytes || hex.size() > 2 * maxSecretBytes) {
+        return Result<PeerKey>::fail("expected 32 to 128 hexadecimal digits after the name");
+    }
+    PeerKey key{std::string(text.substr(0, colon)), {}};
+    for (std::size_t i = 0; i < hex.size(); i += 2) {
+        const int high = hexValue(hex[i]);
+        const int low = hexValue(hex[i + 1]);
+        if (high < 0 || low < 0) {
+            return Result<PeerKey>::fail("the secret holds a character that is no hexadecimal digit");
+        }
+        key.secret.push_back(static_cast<char>(high * 16 + low));
+    }
+    return Result<PeerKey>::ok(std::move(key));
+}
+
+PeerTls::PeerTls(std::vector<PeerKey> keys)
+    : m_keys(std::make_unique<const std::vector<PeerKey>>(std::move(keys)))
+    , m_server(asio::ssl::context::tls_server)
+    , m_client(asio::ssl::context::tls_client)
+{
+    if (m_keys->empty()) {
+        throw std::invalid_argument("at least one peer key is needed");
+    }
+    configure(m_server, *m_keys);
+    configure(m_client, *m_keys);
+    SSL_CTX_set_psk_server_callback(m_server.native_handle(), &serverKey);
+    SSL_CTX_set_psk_client_callback(m_client.native_handle(), &clientKey);
+    // Without a trust store every certificate fails, so only a server that holds the key is accepted.
+    m_client.set_verify_mode(asio::ssl::verify_peer);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,162 @@
+#include "settings.h"
+
+#include "h2_client.h"
+#include "peer_tls.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr std::string_view environmentPrefix = "TURMERICLINE_";
+
+std::string environmentName(std::string_view setting)
+{
+    std::string name(environmentPrefix);
+    for (const char c : setting) {
+        name.push_back(c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c))));
+    }
+    return name;
+}
+
+po::options_description describe(std::span<const SettingHelp> rows)
+{
+    po::options_description options;
+    options.add_options()("help", "print this help")("version", "print the version")("check",
+                                                                                     "check the settings and exit");
+    for (const auto &it : rows) {
+        auto *value = po::value<std::vector<std::string>>();
+        if (it.isFlag) {
+            value->implicit_value({"true"}, "true")->zero_tokens();
+        }
+        options.add_options()(std::string(it.name).c_str(), value, std::string(it.help).c_str());
+    }
+    return options;
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> items;
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+        const auto end = std::min(text.find(',', begin), text.size());
+        items.push_back(text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return items;
+}
+
+void storeFlag(RawSettings &raw, const SettingHelp *row, const po::option &option)
+{
+    if (option.string_key == "help") {
+        raw.action = SettingsAction::Help;
+    } else if (option.string_key == "version") {
+        raw.action = SettingsAction::Version;
+    } else if (option.string_key == "check") {
+        raw.action = SettingsAction::Check;
+    } else if (row == nullptr) {
+        const auto name = option.original_tokens.empty() ? option.string_key : option.original_tokens.front();
+        raw.faults.push_back({name, "", "a flag listed by --help"});
+    } else {
+        auto &values = raw.values[option.string_key];
+        if (!values.empty() && !row->isList) {
+            raw.faults.push_back({option.string_key, option.value.empty() ? "" : option.value.front(), "one value"});
+            return;
+        }
+        if (option.value.empty()) {
+            values.emplace_back("true");
+        }
+        values.insert(values.end(), option.value.begin(), option.value.end());
+    }
+}
+
+} // namespace
+
+RawSettings
+readSettings(std::span<const SettingHelp> rows, int argc, const char *const *argv, const EnvironmentLookup &env)
+{
+    RawSettings raw;
+    const auto options = describe(rows);
+    try {
+        const auto parsed = po::command_line_parser(argc, argv)
+                                .options(options)
+                                .style(po::command_line_style::unix_style & ~po::command_line_style::allow_guessing)
+                                .allow_unregistered()
+                                .run();
+        for (const auto &it : parsed.options) {
+            const auto row = std::find_if(rows.begin(), rows.end(), [&it](const SettingHelp &r) {
+                return !it.unregistered && r.name == it.string_key;
+            });
+            storeFlag(raw, row == rows.end() ? nullptr : &*row, it);
+        }
+    } catch (const po::error &error) {
+        raw.faults.push_back({"command line", "", error.what()});
+    }
+    for (const auto &it : rows) {
+        if (raw.values.contains(it.name)) {
+            continue;
+        }
+        if (const char *text = env(environmentName(it.name).c_str()); text != nullptr) {
+            raw.values[std::string(it.name)] = it.isList ? splitList(text) : std::vector<std::string>{text};
+        }
+    }
+    return raw;
+}
+
+void printFaults(std::ostream &err, const std::vector<SettingFault> &faults)
+{
+    for (const auto &it : faults) {
+        err << "error: setting " << it.name;
+        if (!it.value.empty()) {
+            err << " has the value \"" << it.value << "\"";
+        }
+        err << ", expected " << it.allowed << "\n";
+    }
+}
+
+void printHelp(std::ostream &out, std::string_view program, std::span<const SettingHelp> rows)
+{
+    out << "Usage: " << program << " [--NAME VALUE]...\n\n"
+        << "Each flag can also be given as an environment variable; a flag wins. Lists take a flag several times,\n"
+        << "or commas in the environment.\n\n"
+        << "  --help, --version, --check (check the settings and exit)\n";
+    for (const auto &it : rows) {
+        out << "  --" << it.name << " (" << environmentName(it.name) << ")";
+        if (!it.defaultText.empty()) {
+            out << " [" << it.defaultText << "]";
+        }
+        out << "\n        " << it.help << "\n";
+    }
+}
+
+std::string checkAddress(const std::string &value)
+{
+    return parseAddress(value) ? "" : "IP:PORT";
+}
+
+std::string checkName(const std::string &value)
+{
+    const bool valid
+        = !value.empty() && value.size() <= 64 && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+              return std::isalnum(c) != 0 || c == '-' || c == '_';
+          });
+    return valid ? "" : "1 to 64 letters, digits, '-' or '_'";
+}
+
+std::string checkPeerKey(const std::string &value)
+{
+    return parsePeerKey(value).reason;
+}
+
+std::string checkUrl(const std::string &value)
+{
+    return value.starts_with("http://") || value.starts_with("https://") ? ""
+                                                                         : "a URL that starts with http:// or https://";
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "settings_type.h"
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <optional>
+#include <ostream>
+#include <span>
+
+namespace turmericline {
+
+/** Name, help and default of a setting, without its member. */
+struct SettingHelp
+{
+    std::string_view name;
+    std::string_view defaultText;
+    std::string_view help;
+    bool isList = false;
+    bool isFlag = false;
+};
+
+/** Values as given, by setting name; flags win over environment variables. */
+struct RawSettings
+{
+    std::map<std::string, std::vector<std::string>, std::less<>> values;
+    SettingsAction action = SettingsAction::Run;
+    std::vector<SettingFault> faults;
+};
+
+using EnvironmentLookup = std::function<const char *(const char *name)>;
+
+/** Reads flags and environment; unknown flags and repeated single values are faults. */
+RawSettings
+readSettings(std::span<const SettingHelp> rows, int argc, const char *const *argv, const EnvironmentLookup &env);
+
+/** Prints the faults, one line each. */
+void printFaults(std::ostream &err, const std::vector<SettingFault> &faults);
+/** Prints the flags, their environment variables and defaults. */
+void printHelp(std::ostream &out, std::string_view program, std::span<const SettingHelp> rows);
+
+/** Allowed values of common kinds of text. */
+std::string checkAddress(const std::string &value);
+std::string checkName(const std::string &value);
+std::string checkPeerKey(const std::string &value);
+std::string checkUrl(const std::string &value);
+
+namespace detail {
+
+template<typename Number>
+std::optional<Number> parseNumber(const std::string &text, std::uint64_t min, std::uint64_t max)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    const auto limit = std::min<std::uint64_t>(max, std::numeric_limits<Number>::max());
+    if (ec != std::errc() || end != text.data() + text.size() || n < min || n > limit) {
+        return std::nullopt;
+    }
+    return static_cast<Number>(n);
+}
+
+template<typename S>
+class SettingFiller
+{
+public:
+    SettingFiller(SettingsParse<S> &parse, const SettingRow<S> &row, const std::vector<std::string> &given)
+        : m_parse(parse)
+        , m_row(row)
+        , m_given(given)
+    {
+    }
+
+    void operator()(std::string S::*member)
+    {
+        checkText(m_given.front());
+        m_parse.settings.*member = m_given.front();
+    }
+
+    void operator()(std::vector<std::string> S::*member)
+    {
+        for (const auto &it : m_given) {
+            checkText(it);
+        }
+        m_parse.settings.*member = m_given;
+    }
+
+    void operator()(bool S::*member)
+    {
+        const auto &text = m_given.front();
+        if (text != "true" && text != "false" && text != "1" && text != "0") {
+            fault(text, "true or false");
+        }
+        m_parse.settings.*member = text == "true" || text == "1";
+    }
+
+    void operator()(std::uint16_t S::*member)
+    {
+        number<std::uint16_t>([&](std::uint16_t n) {
+            m_parse.settings.*member = n;
+        });
+    }
+
+    void operator()(std::uint64_t S::*member)
+    {
+        number<std::uint64_t>([&](std::uint64_t n) {
+            m_parse.settings.*member = n;
+        });
+    }
+
+    void operator()(std::chrono::milliseconds S::*member)
+    {
+        number<std::uint32_t>([&](std::uint32_t n) {
+            m_parse.settings.*member = std::chrono::milliseconds(n);
+        });
+    }
+
+private:
+    void fault(const std::string &value, std::string allowed)
+    {
+        m_parse.faults.push_back({std::string(m_row.name), value, std::move(allowed)});
+    }
+
+    void checkText(const std::string &text)
+    {
+        if (m_row.check == nullptr) {
+            return;
+        }
+        if (auto allowed = m_row.check(text); !allowed.empty()) {
+            fault(text, std::move(allowed));
+        }
+    }
+
+    template<typename Number, typename Store>
+    void number(Store store)
+    {
+        const auto max = std::min<std::uint64_t>(m_row.max, std::numeric_limits<Number>::max());
+        if (const auto n = parseNumber<Number>(m_given.front(), m_row.min, max)) {
+            store(*n);
+        } else {
+            fault(m_given.front(), "a whole number from " + std::to_string(m_row.min) + " to " + std::to_string(max));
+        }
+    }
+
+    SettingsParse<S> &m_parse;
+    const SettingRow<S> &m_row;
+    const std::vector<std::string> &m_given;
+};
+
+} // namespace detail
+
+/** Names and help of a settings table. */
+template<typename S, std::size_t N>
+std::vector<SettingHelp> settingsHelp(const std::array<SettingRow<S>, N> &rows)
+{
+    std::vector<SettingHelp> help;
+    for (const auto &it : rows) {
+        help.push_back({it.name,
+                        it.defaultText,
+                        it.help,
+                        std::holds_alternative<std::vector<std::string> S::*>(it.member),
+                        std::holds_alternative<bool S::*>(it.member)});
+    }
+    return help;
+}
+
+/** Fills the aggregate from flags and environment and collects every fault. */
+template<typename S, std::size_t N>
+SettingsParse<S>
+parseSettings(const std::array<SettingRow<S>, N> &rows, int argc, const char *const *argv, const EnvironmentLookup &env)
+{
+    const auto raw = readSettings(settingsHelp(rows), argc, argv, env);
+    SettingsParse<S> parse;
+    parse.action = raw.action;
+    parse.faults = raw.faults;
+    for (const auto &row : rows) {
+        const auto it = raw.values.find(row.name);
+        std::vector<std::string> given;
+        if (it != raw.values.end()) {
+            given = it->second;
+        } else if (!row.defaultText.empty()) {
+            given.emplace_back(row.defaultText);
+        }
+        if (!given.empty()) {
+            std::visit(detail::SettingFiller<S>(parse, row, given), row.member);
+        } else if (row.isRequired) {
+            parse.faults.push_back({std::string(row.name), "", "a value, which is required"});
+        }
+    }
+    return parse;
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/settings_type.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace turmericline {
+
+/** Member of a settings aggregate that a row of the settings table fills. */
+template<typename S>
+using SettingMember = std::variant<std::string S::*,
+                                   bool S::*,
+                                   std::uint16_t S::*,
+                                   std::uint64_t S::*,
+                                   std::chrono::milliseconds S::*,
+                                   std::vector<std::string> S::*>;
+
+/** Checks a text value; returns what is allowed if it is wrong, else an empty text. */
+using SettingCheck = std::string (*)(const std::string &value);
+
+/** One setting: the flag --NAME and the environment variable TURMERICLINE_NAME. */
+template<typename S>
+struct SettingRow
+{
+    std::string_view name;
+    SettingMember<S> member;
+    std::string_view defaultText; ///< Empty for none.
+    std::string_view help;
+    bool isRequired = false;
+    std::uint64_t min = 0;
+    std::uint64_t max = std::numeric_limits<std::uint64_t>::max();
+    SettingCheck check = nullptr;
+};
+
+struct SettingFault
+{
+    std::string name;
+    std::string value;
+    std::string allowed;
+};
+
+enum class SettingsAction {
+    Run,
+    Help,
+    Version,
+    Check, ///< Check the settings and exit.
+};
+
+template<typename S>
+struct SettingsParse
+{
+    S settings;
+    SettingsAction action = SettingsAction::Run;
+    std::vector<SettingFault> faults;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/tests/unit_h2_test.cpp
@@ -0,0 +1,222 @@
+#include "h2_client.h"
+#include "h2_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+
+namespace {
+
+PeerKey key(const std::string &name, char fill)
+{
+    return {name, std::string(32, fill)};
+}
+
+} // namespace
+
+/** Guards the peer transport: answers with trailers, cancellation, and that only holders of a key get through. */
+class H2Test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(H2Test);
+    CPPUNIT_TEST(streamsBodyAndTrailers);
+    CPPUNIT_TEST(largeBodyNeedsConsume);
+    CPPUNIT_TEST(cancelReachesServer);
+    CPPUNIT_TEST(wrongKeyIsRefused);
+    CPPUNIT_TEST(secondKeyIsAccepted);
+    CPPUNIT_TEST(lostConnectionMayHaveSent);
+    CPPUNIT_TEST(drainRefusesAsNotSent);
+    CPPUNIT_TEST(refusedConnectionIsNotSent);
+    CPPUNIT_TEST_SUITE_END();
+
+    asio::io_context m_io;
+    PeerTls m_tls{{key("a", 'x')}};
+
+    struct Answer
+    {
+        int status = 0;
+        std::string body;
+        H2Result result;
+        bool done = false;
+    };
+
+    static std::string at(const H2Server &server)
+    {
+        return "127.0.0.1:" + std::to_string(server.port());
+    }
+
+    H2Client::StreamId send(H2Client &client, Answer &answer, H2Request request)
+    {
+        auto id = std::make_shared<H2Client::StreamId>(0);
+        *id = client.start(std::move(request),
+                           {[&answer](int status, const HttpHeaders &) {
+                                answer.status = status;
+                            },
+                            [&answer, &client, id](std::string_view chunk) {
+                                answer.body += chunk;
+                                client.consume(*id, chunk.size());
+                            },
+                            [&answer](const H2Result &result) {
+                                answer.result = result;
+                                answer.done = true;
+                            }});
+        return *id;
+    }
+
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition()) {
+            m_io.run_one();
+        }
+    }
+
+    Answer call(H2Client &client, H2Request request)
+    {
+        Answer answer;
+        send(client, answer, std::move(request));
+        runUntil([&] {
+            return answer.done;
+        });
+        return answer;
+    }
+
+public:
+    void streamsBodyAndTrailers()
+    {
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [](const std::shared_ptr<H2ServerStream> &stream) {
+            stream->respond(200, {{"tl-incarnation", "1"}});
+            stream->write("one ");
+            stream->write(stream->request().body);
+            stream->end({{"tl-verdict", "run"}});
+        });
+        H2Client client(m_io, m_tls, at(server));
+        const auto answer = call(client, {"POST", "/run", {{"tl-request", "r1"}}, "two"});
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("one two"), answer.body);
+        CPPUNIT_ASSERT(answer.result.complete);
+        CPPUNIT_ASSERT(headerValue(answer.result.trailers, "tl-verdict") == "run");
+    }
+
+    void largeBodyNeedsConsume()
+    {
+        const std::string big(3'000'000, 'b');
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [&big](const std::shared_ptr<H2ServerStream> &stream) {
+            stream->reply(200, {}, big + stream->request().body);
+        });
+        H2Client client(m_io, m_tls, at(server));
+        const auto answer = call(client, {"POST", "/run", {}, std::string(1'000'000, 'c')});
+        CPPUNIT_ASSERT(answer.result.complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4'000'000), answer.body.size());
+    }
+
+    void cancelReachesServer()
+    {
+        bool received = false;
+        bool cancelled = false;
+        std::shared_ptr<H2ServerStream> held;
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [&](const std::shared_ptr<H2ServerStream> &stream) {
+            held = stream;
+            received = true;
+            stream->onCancel = [&cancelled] {
+                cancelled = true;
+            };
+        });
+        H2Client client(m_io, m_tls, at(server));
+        Answer answer;
+        const auto id = send(client, answer, {"POST", "/run", {}, ""});
+        runUntil([&] {
+            return received;
+        });
+        client.cancel(id);
+        runUntil([&] {
+            return cancelled;
+        });
+        CPPUNIT_ASSERT(!answer.done);
+    }
+
+    void wrongKeyIsRefused()
+    {
+        bool reached = false;
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [&](const std::shared_ptr<H2ServerStream> &) {
+            reached = true;
+        });
+        for (const auto &bad : {key("a", 'y'), key("b", 'x')}) {
+            PeerTls other({bad});
+            H2Client client(m_io, other, at(server));
+            const auto answer = call(client, {"POST", "/run", {}, "x"});
+            CPPUNIT_ASSERT(!answer.result.complete);
+            CPPUNIT_ASSERT(!answer.result.sent);
+        }
+        CPPUNIT_ASSERT(!reached);
+    }
+
+    void secondKeyIsAccepted()
+    {
+        PeerTls both({key("new", 'n'), key("a", 'x')});
+        H2Server server(m_io, both, "127.0.0.1", 0, [](const std::shared_ptr<H2ServerStream> &stream) {
+            stream->reply(200, {}, "");
+        });
+        H2Client oldClient(m_io, m_tls, at(server));
+        H2Client newClient(m_io, both, at(server));
+        CPPUNIT_ASSERT(call(oldClient, {"POST", "/run", {}, ""}).result.complete);
+        CPPUNIT_ASSERT(call(newClient, {"POST", "/run", {}, ""}).result.complete);
+    }
+
+    void lostConnectionMayHaveSent()
+    {
+        std::shared_ptr<H2ServerStream> held;
+        auto server = std::make_unique<H2Server>(
+            m_io, m_tls, "127.0.0.1", 0, [&held](const std::shared_ptr<H2ServerStream> &stream) {
+                held = stream;
+            });
+        H2Client client(m_io, m_tls, at(*server));
+        Answer answer;
+        send(client, answer, {"POST", "/run", {}, ""});
+        runUntil([&] {
+            return held != nullptr;
+        });
+        server.reset();
+        runUntil([&] {
+            return answer.done;
+        });
+        CPPUNIT_ASSERT(!answer.result.complete);
+        CPPUNIT_ASSERT(answer.result.sent);
+    }
+
+    void drainRefusesAsNotSent()
+    {
+        std::shared_ptr<H2ServerStream> held;
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [&held](const std::shared_ptr<H2ServerStream> &stream) {
+            held = stream;
+        });
+        H2Client client(m_io, m_tls, at(server));
+        Answer first;
+        send(client, first, {"POST", "/run", {}, ""});
+        runUntil([&] {
+            return held != nullptr;
+        });
+        server.drain();
+        Answer second;
+        send(client, second, {"POST", "/run", {}, ""});
+        runUntil([&] {
+            return second.done;
+        });
+        CPPUNIT_ASSERT(!second.result.sent);
+        held->reply(200, {}, "late");
+        runUntil([&] {
+            return first.done;
+        });
+        CPPUNIT_ASSERT(first.result.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("late"), first.body);
+    }
+
+    void refusedConnectionIsNotSent()
+    {
+        H2Client client(m_io, m_tls, "127.0.0.1:1");
+        const auto answer = call(client, {"POST", "/run", {}, ""});
+        CPPUNIT_ASSERT(!answer.result.complete);
+        CPPUNIT_ASSERT(!answer.result.sent);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(H2Test);
