Add tickets, the ledger of keyed calls and the binder of plain keys

Ledger entries are kept until a ticket is 2 W old, although it is admitted only up to W. A ticket between W and 2 W without an entry is then proven not run, and late copies still find the recorded answer.

Ruled out: a binding window of exactly W. A bind message that an entry sent within W of the first use can be delayed and reach a new owner, or one that has dropped its entry, after W, and would bind the key a second time. So a bind carries the owner's age at the time the call arrived at the entry (AgentAge, from tickAt()).

--- /dev/null
+++ b/src/key_binder_type.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "ticket_type.h"
+#include "verdict_type.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace turmericline {
+
+/** What the owner of a plain key says about it. */
+enum class Binding {
+    Bound, ///< The call runs under the ticket of the result, and under no other.
+    Sealed, ///< The key is bound to nothing: no call with it was run and none will be.
+    TooRecent, ///< The slot has not been owned for long enough; an earlier owner may have bound the key.
+    Stale, ///< The message is too old to bind a key; it may be sent again if the call itself is recent.
+    NotOwner, ///< Another server owns the slot under the document of this agent.
+    Full, ///< There is no room to record the binding.
+    Invalid, ///< The proposed ticket cannot be read.
+};
+
+struct BindRequest
+{
+    std::string_view workspace;
+    std::string_view service;
+    std::string_view key;
+    /** Age that the owner had reached when the call arrived at the entry, or less; see tickAt(). */
+    AgentAge ownerAge;
+};
+
+struct BindResult
+{
+    Binding binding = Binding::NotOwner;
+    Verdict verdict = Verdict::MayHaveRun; ///< For the caller, if the call ends here.
+    std::string ticket; ///< Set for Binding::Bound only.
+};
+
+struct KeyBinderSettings
+{
+    Age lifetime{std::chrono::seconds(120)}; ///< W: a copy of a call arrives within W of the key's first use.
+    Age maxDelay{std::chrono::seconds(15)}; ///< Time from a call's arrival at an entry until its key is bound.
+    std::size_t maxEntries = 65536;
+    std::size_t maxEntriesPerWorkspace = 16384;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/ledger.cpp
@@ -0,0 +1,164 @@
+#include "ledger.h"
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace {
+
+std::size_t sizeOf(const Answer &answer)
+{
+    std::size_t n = answer.body.size();
+    for (const auto &[name, value] : answer.headers) {
+        n += name.size() + value.size();
+    }
+    return n;
+}
+
+Age madeAt(const Ticket &ticket)
+{
+    return std::chrono::seconds(ticket.tick);
+}
+
+} // namespace
+
+Ledger::Ledger(std::string server, std::uint64_t incarnation, LedgerSettings settings)
+    : m_server(std::move(server))
+    , m_incarnation(incarnation)
+    , m_settings(settings)
+{
+}
+
+AdmitResult Ledger::admit(std::string_view workspace, const Ticket &ticket, Age now)
+{
+    return enter(workspace, ticket, State::Running, now);
+}
+
+AdmitResult Ledger::seal(std::string_view workspace, const Ticket &ticket, Age now)
+{
+    return enter(workspace, ticket, State::Sealed, now);
+}
+
+AdmitResult Ledger::enter(std::string_view workspace, const Ticket &ticket, State state, Age now)
+{
+    if (ticket.server != m_server || ticket.incarnation != m_incarnation) {
+        return {Admission::WrongIncarnation, Verdict::MayHaveRun, {}};
+    }
+    expire(now);
+    if (const auto it = m_entries.find(ticket); it != m_entries.end()) {
+        return describe(it->second, workspace);
+    }
+    const auto age = now - madeAt(ticket);
+    if (age < Age::zero()) {
+        return {Admission::FromTheFuture, Verdict::MayHaveRun, {}};
+    }
+    if (age > m_settings.lifetime) {
+        // Up to 2 W the entry of an admitted ticket would still be here, so a missing one proves that nothing ran.
+        const bool isProof = age <= 2 * m_settings.lifetime;
+        return {Admission::Expired, isProof ? Verdict::NotRun : Verdict::MayHaveRun, {}};
+    }
+    if (!hasRoom(workspace)) {
+        return {Admission::Full, Verdict::MayHaveRun, {}};
+    }
+    m_entries.emplace(ticket, Entry{std::string(workspace), State::Running, {}, 0});
+    ++m_entriesOfWorkspace[std::string(workspace)];
+    if (state == State::Sealed) {
+        settle(ticket, state, now);
+        return {Admission::Sealed, Verdict::NotRun, {}};
+    }
+    return {Admission::Admitted, Verdict::MayHaveRun, {}};
+}
+
+AdmitResult Ledger::describe(const Entry &entry, std::string_view workspace)
+{
+    if (entry.workspace != workspace) {
+        // The entry never changes hands, so no call of this workspace can have used the ticket.
+        return {Admission::WrongOwner, Verdict::NotRun, {}};
+    }
+    switch (entry.state) {
+    case State::Running:
+        return {Admission::InProgress, Verdict::MayHaveRun, {}};
+    case State::Sealed:
+        return {Admission::Sealed, Verdict::NotRun, {}};
+    case State::Finished:
+        return {entry.answer ? Admission::Replay : Admission::Finished, Verdict::Run, entry.answer};
+    case State::Unknown:
+        break;
+    }
+    return {Admission::Unknown, Verdict::MayHaveRun, {}};
+}
+
+void Ledger::finish(const Ticket &ticket, Answer answer, Age now)
+{
+    const auto it = m_entries.find(ticket);
+    if (it == m_entries.end() || it->second.state != State::Running) {
+        return;
+    }
+    keepAnswer(it->second, std::move(answer));
+    settle(ticket, State::Finished, now);
+}
+
+void Ledger::keepAnswer(Entry &entry, Answer answer)
+{
+    const auto n = sizeOf(answer);
+    if (n > m_settings.maxAnswerBytesPerEntry || n > m_settings.maxAnswerBytes - m_answerBytes) {
+        return;
+    }
+    m_answerBytes += n;
+    entry.answerBytes = n;
+    entry.answer = std::make_shared<const Answer>(std::move(answer));
+}
+
+void Ledger::fail(const Ticket &ticket, Verdict verdict, Age now)
+{
+    settle(ticket, verdict == Verdict::NotRun ? State::Sealed : State::Unknown, now);
+}
+
+void Ledger::settle(const Ticket &ticket, State state, Age now)
+{
+    const auto it = m_entries.find(ticket);
+    if (it == m_entries.end() || it->second.state != State::Running) {
+        return;
+    }
+    it->second.state = state;
+    // W after the end of a long call, so that its caller still finds the answer.
+    const auto keepUntil = std::max(madeAt(ticket) + 2 * m_settings.lifetime, now + m_settings.lifetime);
+    m_expiries.emplace(keepUntil, ticket);
+}
+
+void Ledger::expire(Age now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first < now) {
+        drop(m_entries.find(m_expiries.begin()->second));
+        m_expiries.erase(m_expiries.begin());
+    }
+}
+
+void Ledger::drop(Entries::iterator it)
+{
+    m_answerBytes -= it->second.answerBytes;
+    const auto count = m_entriesOfWorkspace.find(it->second.workspace);
+    if (--count->second == 0) {
+        m_entriesOfWorkspace.erase(count);
+    }
+    m_entries.erase(it);
+}
+
+bool Ledger::hasRoom(std::string_view workspace) const
+{
+    const auto count = m_entriesOfWorkspace.find(workspace);
+    return m_entries.size() < m_settings.maxEntries
+           && (count == m_entriesOfWorkspace.end() || count->second < m_settings.maxEntriesPerWorkspace);
+}
+
+std::size_t Ledger::size() const
+{
+    return m_entries.size();
+}
+
+std::size_t Ledger::answerBytes() const
+{
+    return m_answerBytes;
+}
+
+} // namespace turmericline
