Add stand-ins for engine, service, config and instances

Tests and the demo need the outside systems of the platform, which this repository must write itself. Each is a small class on an io_context, and turmericline-fake runs one of them as a process.

A stalled request must keep its responder: RESTinio closes a connection when the last reference to an unanswered request goes, which also gives the fault mode "abort". Ruled out: ending the process for every broken connection, because it also ends all other requests.

Known limit: a client that leaves while it waits for an answer in one piece is not noticed, because HttpServer does not read from a connection with a request in progress. Streams notice it at the second write.

--- /dev/null
+++ b/fakes/fake_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "http_server.h"
+#include "lagged.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace turmericline::fakes {
+
+using Json = nlohmann::json;
+using ResponderPtr = std::shared_ptr<HttpResponder>;
+
+/** Value of @p name in a query such as "after=3&wait_ms=100"; empty if it is missing or not a number. */
+std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name);
+/** Reads a whole text as an unsigned number. */
+std::optional<std::uint64_t> parseNumber(std::string_view text);
+void replyJson(HttpResponder &responder, int status, const Json &value, HttpHeaders headers = {});
+/** Replies with the customary error object. */
+void replyError(HttpResponder &responder, int status, std::string_view message);
+
+/** Common part of the stand-ins: an HTTP server whose handlers do nothing any more once the object is gone. */
+class FakeServer
+{
+public:
+    FakeServer(const FakeServer &) = delete;
+    FakeServer &operator=(const FakeServer &) = delete;
+
+    std::uint16_t port() const;
+    /** "http://127.0.0.1:PORT" */
+    std::string url() const;
+
+protected:
+    FakeServer(asio::io_context &io, std::uint16_t port);
+    virtual ~FakeServer();
+
+    virtual void handle(HttpRequest request, ResponderPtr responder) = 0;
+    virtual void connectionClosed(std::uint64_t /*connection*/)
+    {
+    }
+    /** Leaves a request unanswered with its connection open; dropping a responder would close the connection. */
+    void hold(ResponderPtr responder);
+    /** Closes the connections of all held requests. */
+    void dropHeld();
+    /** Wraps a timer handler so that it is skipped on error and after destruction. */
+    template<typename F>
+    auto guarded(F f) const
+    {
+        return [alive = std::weak_ptr(m_alive), f = std::move(f)](const asio::error_code &ec) {
+            if (!ec && !alive.expired()) {
+                f();
+            }
+        };
+    }
+
+private:
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::vector<ResponderPtr> m_held;
+    HttpServer m_server;
+};
+
+} // namespace turmericline::fakes
--- /dev/null
+++ b/fakes/prefix_cache.cpp
@@ -0,0 +1,61 @@
+#include "prefix_cache.h"
+
+#include <xxhash.h>
+
+namespace turmericline::fakes {
+
+std::vector<std::uint64_t> promptBlocks(std::string_view prompt)
+{
+    std::vector<std::uint64_t> blocks;
+    blocks.reserve(prompt.size() / blockBytes);
+    std::uint64_t hash = 0;
+    for (std::size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
+        hash = XXH64(prompt.data() + at, blockBytes, hash);
+        blocks.push_back(hash);
+    }
+    return blocks;
+}
+
+PrefixCache::PrefixCache(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+std::size_t PrefixCache::use(const std::vector<std::uint64_t> &blocks, std::vector<CacheEvent> &events)
+{
+    std::size_t cached = 0;
+    while (cached < blocks.size() && m_index.contains(blocks[cached])) {
+        ++cached;
+    }
+    // From the last block to the first, so that a prefix outlives the blocks that build on it.
+    for (auto it = blocks.rbegin(); it != blocks.rend(); ++it) {
+        store(*it, events);
+    }
+    return cached;
+}
+
+std::size_t PrefixCache::size() const
+{
+    return m_index.size();
+}
+
+void PrefixCache::store(std::uint64_t block, std::vector<CacheEvent> &events)
+{
+    if (const auto it = m_index.find(block); it != m_index.end()) {
+        m_recent.splice(m_recent.begin(), m_recent, it->second);
+        return;
+    }
+    if (m_capacity == 0) {
+        return;
+    }
+    if (m_index.size() == m_capacity) {
+        events.push_back({false, m_recent.back()});
+        m_index.erase(m_recent.back());
+        m_recent.pop_back();
+    }
+    m_recent.push_front(block);
+    m_index.emplace(block, m_recent.begin());
+    events.push_back({true, block});
+}
+
+} // namespace turmericline::fakes
