--- /dev/null
+++ b/src/agent.cpp
@@ -0,0 +1,502 @@
+#include "agent.h"
+
+#include "agent_pool.h"
+#include "log.h"
+#include "ticket.h"
+#include "verdict.h"
+#include "wire.h"
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{50};
+constexpr std::chrono::milliseconds busyRetryAfter{200};
+/** A reader that leaves this much unread is given up, to bound the agent's memory. */
+constexpr std::size_t maxUnreadBytes = 4U << 20U;
+constexpr std::size_t maxKeptAnswerBytes = 256U << 10U;
+
+std::vector<PeerKey> readKeys(const std::vector<std::string> &texts)
+{
+    std::vector<PeerKey> keys;
+    for (const auto &it : texts) {
+        if (auto key = parsePeerKey(it)) {
+            keys.push_back(std::move(*key.value));
+        }
+    }
+    return keys;
+}
+
+/** Headers of the backend server's answer that reach the caller. */
+bool isForwarded(std::string_view name)
+{
+    return name == "content-type" || name == "retry-after" || name == "location";
+}
+
+HttpHeaders forwardedHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders kept;
+    for (const auto &[name, value] : headers) {
+        std::string lower(name);
+        std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+            return static_cast<char>(std::tolower(c));
+        });
+        if (isForwarded(lower)) {
+            kept.emplace_back(std::move(lower), value);
+        }
+    }
+    return kept;
+}
+
+} // namespace
+
+Agent::Agent(asio::io_context &io, AgentSettings settings)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_exclusive("turmericline-agent-" + m_settings.server)
+    , m_started(std::chrono::steady_clock::now())
+    , m_incarnation(makeIncarnation())
+    , m_ledger(m_settings.server, m_incarnation, LedgerSettings{})
+    , m_binder(m_incarnation, KeyBinderSettings{})
+    , m_ownership(m_settings.server)
+    , m_tls(readKeys(m_settings.peerKeys))
+    , m_http(io)
+    , m_peerServer(io,
+                   m_tls,
+                   m_settings.address,
+                   m_settings.port,
+                   [this](const std::shared_ptr<H2ServerStream> &stream) {
+                       handle(stream);
+                   })
+    , m_ops(io,
+            m_settings.address,
+            m_settings.opsPort,
+            {[this] {
+                 return refusalReason().empty();
+             },
+             [this] {
+                 return m_metrics.text();
+             },
+             [this] {
+                 return status();
+             }})
+    , m_drain(io,
+              {m_settings.drainNotice, m_settings.drainDeadline},
+              {[] {},
+               [this] {
+                   m_peerServer.stopListening();
+                   m_peerServer.drain();
+               },
+               [this] {
+                   return m_queue.empty() && m_running.empty() && m_peerServer.openStreamCount() == 0;
+               },
+               [this] {
+                   m_io.stop();
+               }})
+    , m_platform(io,
+                 m_http,
+                 {m_settings.configUrl, m_settings.instancesUrl},
+                 {[this](const std::string &text) {
+                      applyDocument(text);
+                  },
+                  [] {},
+                  [this](const std::vector<InstanceInfo> &instances) {
+                      m_listedAsLeaving
+                          = std::any_of(instances.begin(), instances.end(), [this](const InstanceInfo &it) {
+                                return it.name == m_settings.server && it.isLeaving;
+                            });
+                  },
+                  [this] {
+                      return m_document.version;
+                  },
+                  {}})
+    , m_tickTimer(io)
+{
+    m_platform.start();
+    tick();
+    logEvent(LogLevel::Info,
+             "agent started",
+             {{"server", m_settings.server}, {"port", m_peerServer.port()}, {"ops_port", m_ops.port()}});
+}
+
+Agent::~Agent() = default;
+
+Age Agent::age() const
+{
+    return std::chrono::duration_cast<Age>(std::chrono::steady_clock::now() - m_started);
+}
+
+std::size_t Agent::slots() const
+{
+    const auto id = m_document.servers.find(m_settings.server);
+    return id.isValid() ? m_document.servers[id].slots : BackendServer{}.slots;
+}
+
+std::string Agent::refusalReason() const
+{
+    if (m_drain.phase() != DrainPhase::Serving) {
+        return "agent is draining";
+    }
+    const auto id = m_document.servers.find(m_settings.server);
+    if (!id.isValid()) {
+        return "backend server is not in the configuration document";
+    }
+    if (m_listedAsLeaving || m_document.servers[id].state != ServerState::Active) {
+        return "backend server is not active";
+    }
+    return {};
+}
+
+HttpHeaders Agent::standardHeaders() const
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age()).count();
+    return {{std::string(wire::incarnation), formatAgentAge({m_incarnation, static_cast<std::uint64_t>(seconds)})},
+            {std::string(wire::load), std::to_string(m_running.size()) + "." + std::to_string(m_queue.size())}};
+}
+
+void Agent::handle(const std::shared_ptr<H2ServerStream> &stream)
+{
+    const auto &path = stream->request().path;
+    if (path == "/run") {
+        handleRun(stream);
+    } else if (path == "/seal") {
+        handleSeal(*stream);
+    } else if (path == "/bind") {
+        handleBind(*stream);
+    } else if (path == "/hello") {
+        handleHello(*stream);
+    } else {
+        refuse(*stream, 404, Verdict::NotRun, "unknown path");
+    }
+}
+
+void Agent::refuse(H2ServerStream &stream, int status, Verdict verdict, const std::string &reason)
+{
+    auto headers = standardHeaders();
+    if (verdict == Verdict::NotRun) {
+        headers.emplace_back(wire::retryAfterMs, std::to_string(busyRetryAfter.count()));
+    }
+    stream.reply(
+        status,
+        std::move(headers),
+        {},
+        {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
+}
+
+void Agent::replay(H2ServerStream &stream, const Answer &answer)
+{
+    auto headers = standardHeaders();
+    headers.insert(headers.end(), answer.headers.begin(), answer.headers.end());
+    headers.emplace_back(wire::replayed, "1");
+    stream.reply(answer.status, std::move(headers), answer.body, {{std::string(wire::verdict), "run"}});
+}
+
+void Agent::handleRun(const std::shared_ptr<H2ServerStream> &stream)
+{
+    auto parsed = parseAgentCall(*stream, AgentCall::Clock::now());
+    if (!parsed) {
+        refuse(*stream, 400, Verdict::NotRun, parsed.reason);
+        return;
+    }
+    auto call = std::make_shared<AgentCall>(std::move(*parsed.value));
+    call->stream = stream;
+    stream->onCancel = [this, weak = std::weak_ptr(call)] {
+        if (const auto locked = weak.lock()) {
+            onEntryGone(locked);
+        }
+    };
+    if (call->ticket) {
+        if (admitKeyed(call)) {
+            enqueue(call);
+        }
+        return;
+    }
+    if (const auto reason = refusalReason(); !reason.empty()) {
+        refuse(*stream, 503, Verdict::NotRun, reason);
+        return;
+    }
+    enqueue(call);
+}
+
+bool Agent::admitKeyed(const Call &call)
+{
+    const auto reason = refusalReason();
+    const auto result = reason.empty() ? m_ledger.admit(call->workspace, *call->ticket, age())
+                                       : m_ledger.seal(call->workspace, *call->ticket, age());
+    if (result.admission == Admission::Admitted) {
+        m_keyedCalls.emplace(*call->ticket, call);
+        return true;
+    }
+    if (result.admission == Admission::Replay) {
+        replay(*call->stream, *result.answer);
+        return false;
+    }
+    const auto running = m_keyedCalls.find(*call->ticket);
+    if (result.admission == Admission::InProgress && running != m_keyedCalls.end()) {
+        running->second->waiters.push_back(call->stream);
+        return false;
+    }
+    std::string why(nameOf(admissionNames, result.admission));
+    if (!reason.empty()) {
+        why += ": " + reason;
+    }
+    refuse(*call->stream, 503, result.verdict, why);
+    return false;
+}
+
+void Agent::enqueue(const Call &call)
+{
+    if (m_queue.size() >= m_settings.queueLength) {
+        finish(call, Verdict::NotRun, "queue is full");
+        return;
+    }
+    // Urgent calls wait only for other urgent calls.
+    auto it = m_queue.end();
+    while (it != m_queue.begin() && (*std::prev(it))->requestClass > call->requestClass) {
+        --it;
+    }
+    m_queue.insert(it, call);
+    dispatch();
+}
+
+void Agent::dispatch()
+{
+    while (m_running.size() < slots() && !m_queue.empty()) {
+        const auto call = m_queue.front();
+        m_queue.pop_front();
+        if (AgentCall::Clock::now() >= call->deadline) {
+            finish(call, Verdict::NotRun, "deadline passed in the queue");
+            continue;
+        }
+        startBackend(call);
+    }
+}
+
+void Agent::startBackend(const Call &call)
+{
+    call->isRunning = true;
+    call->lastHeard = AgentCall::Clock::now();
+    m_running.push_back(call);
+    std::string body;
+    std::string contentType;
+    if (call->stream) {
+        body = call->stream->request().body;
+        contentType = call->stream->header(wire::contentType);
+    }
+    call->backendRequest
+        = m_http.start(backendRequest(*call, m_settings.backendUrl, std::move(body), std::move(contentType)),
+                       {[this, call](int status, const HttpHeaders &headers) {
+                            onBackendHead(call, status, headers);
+                        },
+                        [this, call](std::string_view chunk) {
+                            onBackendBody(call, chunk);
+                        },
+                        [this, call](const HttpClientResult &result) {
+                            onBackendDone(call, result);
+                        }});
+}
+
+void Agent::onBackendHead(const Call &call, int status, const HttpHeaders &headers)
+{
+    call->lastHeard = AgentCall::Clock::now();
+    auto kept = forwardedHeaders(headers);
+    if (call->ticket) {
+        call->answer.status = status;
+        call->answer.headers = kept;
+    }
+    if (call->stream) {
+        auto all = standardHeaders();
+        std::move(kept.begin(), kept.end(), std::back_inserter(all));
+        call->stream->respond(status, std::move(all));
+    }
+    call->headSent = true;
+}
+
+void Agent::onBackendBody(const Call &call, std::string_view chunk)
+{
+    call->lastHeard = AgentCall::Clock::now();
+    if (call->ticket && call->answer.body.size() <= maxKeptAnswerBytes) {
+        call->answer.body.append(chunk);
+    }
+    if (!call->stream) {
+        return;
+    }
+    if (call->stream->pendingBytes() > maxUnreadBytes) {
+        call->stream->end(
+            {{std::string(wire::verdict), "may-have-run"}, {std::string(wire::reason), "reader is too slow"}});
+        onEntryGone(call);
+        return;
+    }
+    call->stream->write(std::string(chunk));
+}
+
+void Agent::onBackendDone(const Call &call, const HttpClientResult &result)
+{
+    if (result.complete) {
+        finish(call, Verdict::Run, {});
+    } else if (!result.sent) {
+        finish(call, Verdict::NotRun, "backend server refused the connection");
+    } else {
+        finish(call, Verdict::MayHaveRun, "backend server: " + result.error);
+    }
+}
+
+void Agent::onEntryGone(const Call &call)
+{
+    call->stream.reset();
+    if (call->ticket && call->isRunning) {
+        return; // A keyed call goes on, so that a resent copy gets its answer.
+    }
+    if (call->ticket && !call->waiters.empty()) {
+        call->stream = call->waiters.front();
+        call->waiters.erase(call->waiters.begin());
+        return;
+    }
+    if (call->isRunning) {
+        m_http.cancel(call->backendRequest);
+        finish(call, Verdict::MayHaveRun, "cancelled");
+    } else {
+        finish(call, Verdict::NotRun, "cancelled");
+    }
+}
+
+void Agent::finish(const Call &call, Verdict verdict, const std::string &reason)
+{
+    if (call->isRunning) {
+        m_running.remove(call);
+    } else if (const auto it = std::find(m_queue.begin(), m_queue.end(), call); it != m_queue.end()) {
+        m_queue.erase(it);
+    }
+    if (call->ticket) {
+        m_keyedCalls.erase(*call->ticket);
+        if (verdict == Verdict::Run) {
+            m_ledger.finish(*call->ticket, call->answer, age());
+        } else {
+            m_ledger.fail(*call->ticket, verdict, age());
+        }
+    }
+    if (call->stream && call->headSent) {
+        call->stream->end(
+            {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
+    } else if (call->stream) {
+        refuse(*call->stream, 503, verdict, reason);
+    }
+    answerWaiters(call, verdict, reason);
+    dispatch();
+}
+
+void Agent::answerWaiters(const Call &call, Verdict verdict, const std::string &reason)
+{
+    for (const auto &it : call->waiters) {
+        if (verdict == Verdict::Run) {
+            replay(*it, call->answer);
+        } else {
+            refuse(*it, 503, verdict, reason);
+        }
+    }
+    call->waiters.clear();
+}
+
+void Agent::handleSeal(H2ServerStream &stream)
+{
+    const auto ticket = parseTicket(stream.header(wire::key));
+    if (!ticket) {
+        refuse(stream, 400, Verdict::MayHaveRun, "invalid ticket");
+        return;
+    }
+    const auto result = m_ledger.seal(stream.header(wire::workspace), *ticket, age());
+    refuse(stream, 200, result.verdict, std::string(nameOf(admissionNames, result.admission)));
+}
+
+void Agent::handleBind(H2ServerStream &stream)
+{
+    const auto ownerAge = parseAgentAge(stream.header(wire::ownerAge));
+    if (!ownerAge) {
+        refuse(stream, 400, Verdict::MayHaveRun, "invalid owner age");
+        return;
+    }
+    const BindRequest request{
+        stream.header(wire::workspace), stream.header(wire::service), stream.header(wire::key), *ownerAge};
+    const auto proposed = stream.header(wire::ticket);
+    const auto since = m_ownership.ownedSince(request);
+    const auto result = proposed.empty() ? m_binder.sealUnbound(request, since, age())
+                                         : m_binder.bind(request, proposed, since, age());
+    auto headers = standardHeaders();
+    if (result.binding == Binding::Bound) {
+        headers.emplace_back(wire::ticket, result.ticket);
+    }
+    stream.reply(result.binding == Binding::Bound ? 200 : 409,
+                 std::move(headers),
+                 {},
+                 {{std::string(wire::verdict), std::string(verdictName(result.verdict))},
+                  {std::string(wire::reason), "key was not bound"}});
+}
+
+void Agent::handleHello(H2ServerStream &stream)
+{
+    stream.reply(200, standardHeaders(), status().dump());
+}
+
+void Agent::applyDocument(const std::string &text)
+{
+    auto parse = parseDocument(text);
+    if (!parse.document) {
+        const auto &fault = parse.faults.front();
+        logEvent(LogLevel::Warning,
+                 "configuration document rejected",
+                 {{"faults", parse.faults.size()}, {"path", fault.path}, {"reason", fault.message}});
+        return;
+    }
+    if (parse.document->version <= m_document.version) {
+        return;
+    }
+    m_document = std::move(*parse.document);
+    m_ownership.update(m_document, age());
+    m_metrics.setDocument(m_document);
+    logEvent(LogLevel::Info, "configuration in force", {{"version", m_document.version}});
+    dispatch();
+}
+
+void Agent::tick()
+{
+    m_ledger.expire(age());
+    m_binder.expire(age());
+    const auto now = AgentCall::Clock::now();
+    const auto queued = m_queue;
+    for (const auto &it : queued) {
+        if (now >= it->deadline) {
+            finish(it, Verdict::NotRun, "deadline passed in the queue");
+        }
+    }
+    const auto running = m_running;
+    for (const auto &it : running) {
+        if (now - it->lastHeard > m_settings.backendSilence) {
+            m_http.cancel(it->backendRequest);
+            finish(it, Verdict::MayHaveRun, "backend server is silent");
+        }
+    }
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](asio::error_code ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+nlohmann::json Agent::status() const
+{
+    return {{"server", m_settings.server},
+            {"domain", m_settings.domain},
+            {"version", m_document.version},
+            {"age_s", std::chrono::duration_cast<std::chrono::seconds>(age()).count()},
+            {"running", m_running.size()},
+            {"queued", m_queue.size()},
+            {"slots", slots()},
+            {"ledger_entries", m_ledger.size()},
+            {"bound_keys", m_binder.size()},
+            {"refuses", refusalReason()}};
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/agent.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "agent_call.h"
+#include "agent_settings.h"
+#include "document.h"
+#include "drain.h"
+#include "exclusive_socket.h"
+#include "h2_server.h"
+#include "http_client.h"
+#include "key_binder.h"
+#include "ledger.h"
+#include "metrics.h"
+#include "ops_server.h"
+#include "platform_client.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace turmericline {
+
+/** The process beside one backend server; the only one that gives it requests. */
+class Agent
+{
+public:
+    /** Throws std::exception if it cannot listen, or if another agent of the same server runs on this host. */
+    Agent(asio::io_context &io, AgentSettings settings);
+    ~Agent();
+    Agent(const Agent &) = delete;
+    Agent &operator=(const Agent &) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_peerServer.port();
+    }
+    std::uint16_t opsPort() const
+    {
+        return m_ops.port();
+    }
+
+private:
+    using Call = std::shared_ptr<AgentCall>;
+
+    void handle(const std::shared_ptr<H2ServerStream> &stream);
+    void handleRun(const std::shared_ptr<H2ServerStream> &stream);
+    void handleBind(H2ServerStream &stream);
+    void handleSeal(H2ServerStream &stream);
+    void handleHello(H2ServerStream &stream);
+
+    bool admitKeyed(const Call &call);
+    void enqueue(const Call &call);
+    void dispatch();
+    void startBackend(const Call &call);
+    void onBackendHead(const Call &call, int status, const HttpHeaders &headers);
+    void onBackendBody(const Call &call, std::string_view chunk);
+    void onBackendDone(const Call &call, const HttpClientResult &result);
+    void onEntryGone(const Call &call);
+    void finish(const Call &call, Verdict verdict, const std::string &reason);
+    void answerWaiters(const Call &call, Verdict verdict, const std::string &reason);
+    void refuse(H2ServerStream &stream, int status, Verdict verdict, const std::string &reason);
+    void replay(H2ServerStream &stream, const Answer &answer);
+
+    void tick();
+    void applyDocument(const std::string &text);
+    std::string refusalReason() const; ///< Why no new work is taken; empty if it is.
+    std::size_t slots() const;
+    Age age() const;
+    HttpHeaders standardHeaders() const;
+    nlohmann::json status() const;
+
+    asio::io_context &m_io;
+    AgentSettings m_settings;
+    ExclusiveSocket m_exclusive; ///< Held for life, so that only one agent feeds the server.
+    std::chrono::steady_clock::time_point m_started;
+    std::uint64_t m_incarnation;
+    Ledger m_ledger;
+    KeyBinder m_binder;
+    KeyOwnership m_ownership;
+    PeerTls m_tls;
+    HttpClient m_http;
+    Metrics m_metrics;
+    Document m_document;
+    bool m_listedAsLeaving = false;
+    std::deque<Call> m_queue;
+    std::list<Call> m_running;
+    std::map<Ticket, Call> m_keyedCalls; ///< Queued or running keyed calls.
+    H2Server m_peerServer;
+    OpsServer m_ops;
+    DrainControl m_drain;
+    PlatformClient m_platform;
+    asio::steady_timer m_tickTimer;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/agent_call.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "document_type.h"
+#include "h2_server.h"
+#include "http_client.h"
+#include "ledger_type.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+/** A request that an entry has sent to this agent. */
+struct AgentCall
+{
+    using Clock = std::chrono::steady_clock;
+
+    std::string requestId;
+    std::string workspace;
+    RequestClass requestClass = RequestClass::Interactive;
+    std::string method;
+    std::string path; ///< With the query, as the backend server gets it.
+    std::string callerKey; ///< Idempotency-Key as the backend server gets it; empty if none.
+    bool isIdempotent = false;
+    std::optional<std::uint64_t> resumeOffset;
+    std::optional<Ticket> ticket; ///< Set for keyed calls.
+    std::string fingerprint;
+    Clock::time_point deadline;
+    std::shared_ptr<H2ServerStream> stream; ///< Empty once the entry has gone.
+    std::vector<std::shared_ptr<H2ServerStream>> waiters; ///< Later copies that wait for the answer.
+
+    bool isRunning = false;
+    HttpClient::RequestId backendRequest = 0;
+    Clock::time_point lastHeard;
+    bool headSent = false;
+    Answer answer; ///< Kept for keyed calls only.
+};
+
+/** Reads the headers of POST /run. */
+Result<AgentCall> parseAgentCall(const H2ServerStream &stream, std::chrono::steady_clock::time_point now);
+
+/** Builds the request to the backend server. */
+HttpClientRequest
+backendRequest(const AgentCall &call, const std::string &backendUrl, std::string body, std::string contentType);
+
+} // namespace turmericline
--- /dev/null
+++ b/src/agent_pool.cpp
@@ -0,0 +1,164 @@
+#include "agent_pool.h"
+
+#include "document.h"
+#include "wire.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::uint32_t failuresBeforeAvoiding = 2;
+constexpr std::chrono::milliseconds minAvoidTime{500};
+constexpr std::chrono::milliseconds maxAvoidTime{8'000};
+
+bool readPair(std::string_view text, std::uint32_t &first, std::uint32_t &second)
+{
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos) {
+        return false;
+    }
+    const auto *const middle = text.data() + dot;
+    const auto *const end = text.data() + text.size();
+    return std::from_chars(text.data(), middle, first).ptr == middle
+           && std::from_chars(middle + 1, end, second).ptr == end;
+}
+
+} // namespace
+
+std::optional<AgentAge> parseAgentAge(std::string_view text)
+{
+    AgentAge age;
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto *const middle = text.data() + dot;
+    const auto *const end = text.data() + text.size();
+    const bool ok = std::from_chars(text.data(), middle, age.incarnation, 16).ptr == middle
+                    && std::from_chars(middle + 1, end, age.tick).ptr == end;
+    return ok ? std::optional(age) : std::nullopt;
+}
+
+std::string formatAgentAge(const AgentAge &age)
+{
+    std::array<char, 16> hex{};
+    const auto *const end = std::to_chars(hex.data(), hex.data() + hex.size(), age.incarnation, 16).ptr;
+    return std::string(hex.data(), end) + "." + std::to_string(age.tick);
+}
+
+void AgentPeer::hear(const HttpHeaders &headers, Clock::time_point now)
+{
+    if (const auto age = parseAgentAge(headerValue(headers, wire::incarnation))) {
+        heardAge = age;
+        heardAt = now;
+    }
+    readPair(headerValue(headers, wire::load), reportedRunning, reportedQueued);
+}
+
+void AgentPeer::succeed()
+{
+    failures = 0;
+    avoidUntil = {};
+}
+
+void AgentPeer::fail(Clock::time_point now)
+{
+    ++failures;
+    if (failures >= failuresBeforeAvoiding) {
+        const auto doublings = std::min(failures - failuresBeforeAvoiding, 4U);
+        avoidUntil = now + std::min(minAvoidTime * (1U << doublings), maxAvoidTime);
+    }
+}
+
+AgentPool::AgentPool(asio::io_context &io, PeerTls &tls)
+    : m_io(io)
+    , m_tls(tls)
+{
+}
+
+void AgentPool::setDocument(const Document &document)
+{
+    std::erase_if(m_peers, [&document](const auto &row) {
+        const auto id = document.servers.find(row.first);
+        return !id.isValid() || document.servers[id].agent != row.second->address;
+    });
+    for (const auto &it : document.servers) {
+        if (m_peers.contains(it.name)) {
+            continue;
+        }
+        auto peer = std::make_shared<AgentPeer>();
+        peer->name = it.name;
+        peer->address = it.agent;
+        peer->domain = it.domain;
+        peer->client = std::make_unique<H2Client>(m_io, m_tls, it.agent);
+        m_peers.emplace(it.name, std::move(peer));
+    }
+}
+
+void AgentPool::setInstances(const std::vector<InstanceInfo> &instances)
+{
+    m_listedLeaving.clear();
+    for (const auto &it : instances) {
+        if (it.role == "agent" && it.isLeaving) {
+            m_listedLeaving.insert(it.name);
+        }
+    }
+}
+
+std::shared_ptr<AgentPeer> AgentPool::find(std::string_view server) const
+{
+    const auto it = m_peers.find(server);
+    return it == m_peers.end() ? nullptr : it->second;
+}
+
+bool AgentPool::isListedLeaving(std::string_view server) const
+{
+    return m_listedLeaving.contains(server);
+}
+
+std::vector<std::shared_ptr<AgentPeer>>
+AgentPool::candidates(const Document &document, Id<Service> service, std::span<const std::string> excluded) const
+{
+    std::vector<std::shared_ptr<AgentPeer>> found;
+    for (const auto id : serversOf(document, service)) {
+        const auto &server = document.servers[id];
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), server.name) != excluded.end();
+        if (server.state != ServerState::Active || isExcluded || isListedLeaving(server.name)) {
+            continue;
+        }
+        if (auto peer = find(server.name)) {
+            found.push_back(std::move(peer));
+        }
+    }
+    return found;
+}
+
+nlohmann::json AgentPool::status(const Document &document) const
+{
+    auto rows = nlohmann::json::array();
+    const auto now = AgentPeer::Clock::now();
+    for (const auto &server : document.servers) {
+        const auto peer = find(server.name);
+        if (!peer) {
+            continue;
+        }
+        rows.push_back({{"server", server.name},
+                        {"service", document.services[server.service].name},
+                        {"domain", server.domain},
+                        {"state", isListedLeaving(server.name) ? "leaving" : nameOf(serverStateNames, server.state)},
+                        {"connected", peer->client->isConnected()},
+                        {"in_flight", peer->inFlight},
+                        {"running", peer->reportedRunning},
+                        {"queued", peer->reportedQueued},
+                        {"suspected", now < peer->avoidUntil}});
+    }
+    return rows;
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/agent_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "document_type.h"
+#include "h2_client.h"
+#include "platform_client.h"
+#include "ticket_type.h"
+
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace turmericline {
+
+/** What an entry knows of one agent and its backend server. */
+struct AgentPeer
+{
+    using Clock = std::chrono::steady_clock;
+
+    std::string name; ///< Of the backend server.
+    std::string address;
+    std::string domain;
+    std::unique_ptr<H2Client> client;
+    std::uint32_t inFlight = 0; ///< Requests of this entry.
+    std::uint32_t reportedRunning = 0;
+    std::uint32_t reportedQueued = 0;
+    std::optional<AgentAge> heardAge; ///< As of heardAt.
+    Clock::time_point heardAt;
+    std::uint32_t failures = 0; ///< In a row.
+    Clock::time_point avoidUntil;
+
+    /** Takes incarnation, tick and load from the headers of any answer. */
+    void hear(const HttpHeaders &headers, Clock::time_point now);
+    void succeed();
+    void fail(Clock::time_point now);
+};
+
+/** The agents that the document names, with one connection each. */
+class AgentPool
+{
+public:
+    AgentPool(asio::io_context &io, PeerTls &tls);
+
+    void setDocument(const Document &document);
+    void setInstances(const std::vector<InstanceInfo> &instances);
+    /** Returns nullptr if the document does not name it. */
+    std::shared_ptr<AgentPeer> find(std::string_view server) const;
+    /** Agents of a service that may get new work, without those in @p excluded. */
+    std::vector<std::shared_ptr<AgentPeer>>
+    candidates(const Document &document, Id<Service> service, std::span<const std::string> excluded) const;
+    bool isListedLeaving(std::string_view server) const;
+    nlohmann::json status(const Document &document) const;
+
+private:
+    asio::io_context &m_io;
+    PeerTls &m_tls;
+    std::unordered_map<std::string, std::shared_ptr<AgentPeer>, StringHash, std::equal_to<>> m_peers;
+    std::unordered_set<std::string, StringHash, std::equal_to<>> m_listedLeaving;
+};
+
+/** Reads "INCARNATION.TICK" with the incarnation in hexadecimal. */
+std::optional<AgentAge> parseAgentAge(std::string_view text);
+std::string formatAgentAge(const AgentAge &age);
+
+} // namespace turmericline
--- /dev/null
+++ b/src/agent_settings.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "settings.h"
+
+namespace turmericline {
+
+/** Settings of turmericline-agent. */
+struct AgentSettings
+{
+    std::string server; ///< Name of its backend server in the document.
+    std::string domain;
+    std::string address;
+    std::uint16_t port = 0;
+    std::uint16_t opsPort = 0;
+    std::string backendUrl;
+    std::string configUrl;
+    std::string instancesUrl;
+    std::vector<std::string> peerKeys;
+    std::vector<std::string> peers;
+    std::string logLevel;
+    std::chrono::milliseconds drainNotice{};
+    std::chrono::milliseconds drainDeadline{};
+    std::chrono::milliseconds backendSilence{};
+    std::uint64_t queueLength = 0;
+    std::uint64_t ledgerEntries = 0;
+};
+
+inline constexpr std::array<SettingRow<AgentSettings>, 16> agentSettingRows{{
+    {"server", &AgentSettings::server, "", "name of the backend server in the document", true, 0, 0, checkName},
+    {"domain", &AgentSettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
+    {"address", &AgentSettings::address, "127.0.0.1", "IP address to listen on", false, 0, 0, checkIp},
+    {"port", &AgentSettings::port, "0", "port for entries; 0 takes a free one", false, 0, 65535},
+    {"ops-port", &AgentSettings::opsPort, "0", "operators' port; 0 takes a free one", false, 0, 65535},
+    {"backend-url", &AgentSettings::backendUrl, "", "URL of the backend server", true, 0, 0, checkUrl},
+    {"config-url", &AgentSettings::configUrl, "", "URL of the configuration service", false, 0, 0, checkUrl},
+    {"instances-url", &AgentSettings::instancesUrl, "", "URL of the instance list", false, 0, 0, checkUrl},
+    {"peer-key",
+     &AgentSettings::peerKeys,
+     "",
+     "name:hex, once or twice; the first one is used to dial",
+     true,
+     0,
+     0,
+     checkPeerKey},
+    {"peer",
+     &AgentSettings::peers,
+     "",
+     "IP:PORT of an entry to ask for the document; repeatable",
+     false,
+     0,
+     0,
+     checkAddress},
+    {"log-level", &AgentSettings::logLevel, "info", "debug, info, warning or error", false, 0, 0, checkLogLevel},
+    {"drain-notice-ms",
+     &AgentSettings::drainNotice,
+     "1000",
+     "time to refuse new work before the listener closes",
+     false,
+     0,
+     600'000},
+    {"drain-deadline-ms",
+     &AgentSettings::drainDeadline,
+     "120000",
+     "time for requests in flight",
+     false,
+     100,
+     3'600'000},
+    {"backend-silence-ms",
+     &AgentSettings::backendSilence,
+     "15000",
+     "a backend server that sends nothing for this long is given up",
+     false,
+     100,
+     600'000},
+    {"queue-length",
+     &AgentSettings::queueLength,
+     "256",
+     "requests that wait for the backend server",
+     false,
+     1,
+     100'000},
+    {"ledger-entries", &AgentSettings::ledgerEntries, "65536", "idempotency keys remembered", false, 1'000, 10'000'000},
+}};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/caller_request.cpp
@@ -0,0 +1,323 @@
+#include "caller_request.h"
+
+#include "verdict.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <random>
+
+namespace turmericline {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view completionsPath = "/v1/completions";
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view servicesPrefix = "/services/";
+constexpr std::size_t maxKeyBytes = 255;
+/** Prompts that share this much go to the same backend servers, where their prefix is cached. */
+constexpr std::size_t affinityBytes = 512;
+
+std::string hex(std::uint64_t n)
+{
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(n));
+    return {buf.data(), 16};
+}
+
+std::string makeRequestId()
+{
+    static std::mt19937_64 generator{std::random_device{}()};
+    return hex(generator());
+}
+
+std::string fingerprintOf(const CallerRequest &request)
+{
+    const std::string seedText = request.workspace + '\n' + request.service + '\n' + request.path;
+    const auto seed = XXH3_64bits(seedText.data(), seedText.size());
+    const auto hash = XXH3_128bits_withSeed(request.body.data(), request.body.size(), seed);
+    return hex(hash.high64) + hex(hash.low64);
+}
+
+bool holdsControlBytes(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+        return c < 0x21 || c > 0x7e;
+    });
+}
+
+Refusal invalid(std::string message)
+{
+    return {400, "invalid_request", std::move(message), Verdict::NotRun, {}};
+}
+
+/** Start of the prompt, which decides about cache affinity. */
+std::string promptStart(const json &body)
+{
+    std::string text;
+    if (const auto it = body.find("prompt"); it != body.end() && it->is_string()) {
+        text = it->get<std::string>();
+    } else if (const auto messages = body.find("messages"); messages != body.end()) {
+        for (const auto &it2 : *messages) {
+            text += it2.value("role", std::string()) + ":";
+            if (const auto content = it2.find("content"); content != it2.end() && content->is_string()) {
+                text += content->get<std::string>();
+            }
+            if (text.size() >= affinityBytes) {
+                break;
+            }
+        }
+    }
+    text.resize(std::min(text.size(), affinityBytes));
+    return text;
+}
+
+std::optional<Refusal> checkPrompt(const json &body, bool isChat)
+{
+    if (!isChat) {
+        const auto prompt = body.find("prompt");
+        return prompt != body.end() && prompt->is_string() ? std::nullopt
+                                                           : std::optional(invalid("\"prompt\" must be a text"));
+    }
+    const auto messages = body.find("messages");
+    const bool valid = messages != body.end() && messages->is_array() && !messages->empty()
+                       && std::all_of(messages->begin(), messages->end(), [](const json &it) {
+                              return it.is_object() && it.contains("role") && it["role"].is_string();
+                          });
+    return valid ? std::nullopt : std::optional(invalid("\"messages\" must be a list of objects with a \"role\""));
+}
+
+std::optional<Refusal> readModelBody(const Document &document, const Plan &plan, CallerRequest &call)
+{
+    const auto body = json::parse(call.body, nullptr, false);
+    if (body.is_discarded() || !body.is_object()) {
+        return invalid("the body is not a valid JSON object in UTF-8");
+    }
+    const auto model = body.find("model");
+    if (model == body.end() || !model->is_string()) {
+        return invalid("\"model\" must be a text");
+    }
+    const auto name = model->get<std::string>();
+    const auto service = std::find_if(document.services.begin(), document.services.end(), [&name](const Service &it) {
+        return it.kind == ServiceKind::Model && it.model == name;
+    });
+    if (service == document.services.end()) {
+        return Refusal{404, "model_not_found", "no service offers the model \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    if (std::find(plan.services.begin(), plan.services.end(), document.services.find(service->name))
+        == plan.services.end()) {
+        return Refusal{403, "forbidden", "this workspace may not use the model \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    if (auto refusal = checkPrompt(body, call.path == chatPath)) {
+        return refusal;
+    }
+    if (const auto stream = body.find("stream"); stream != body.end()) {
+        if (!stream->is_boolean()) {
+            return invalid("\"stream\" must be true or false");
+        }
+        call.isStream = stream->get<bool>();
+    }
+    if (const auto tokens = body.find("max_tokens"); tokens != body.end() && !tokens->is_null()) {
+        if (!tokens->is_number_unsigned()) {
+            return invalid("\"max_tokens\" must be a whole number");
+        }
+        call.maxTokens = tokens->get<std::uint64_t>();
+    }
+    call.service = service->name;
+    call.kind = ServiceKind::Model;
+    call.isIdempotent = true; // Generating an answer again has no effect outside the engine.
+    const auto prefix = call.workspace + '\n' + promptStart(body);
+    call.prefixHash = XXH3_64bits(prefix.data(), prefix.size());
+    return std::nullopt;
+}
+
+std::optional<Refusal> readServicePath(const Document &document, const Plan &plan, CallerRequest &call)
+{
+    const auto rest = std::string_view(call.path).substr(servicesPrefix.size());
+    const auto slash = std::min(rest.find('/'), rest.size());
+    const std::string name(rest.substr(0, slash));
+    const auto id = document.services.find(name);
+    if (!id.isValid() || document.services[id].kind != ServiceKind::Plain) {
+        return Refusal{404, "service_not_found", "there is no service \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    if (std::find(plan.services.begin(), plan.services.end(), id) == plan.services.end()) {
+        return Refusal{
+            403, "forbidden", "this workspace may not use the service \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    call.service = name;
+    call.kind = ServiceKind::Plain;
+    const auto inner = rest.substr(slash);
+    call.path = inner.empty() ? "/" : std::string(inner);
+    call.isIdempotent = findCall(document.services[id], call.method, call.path);
+    return std::nullopt;
+}
+
+std::optional<Refusal> readClass(const Plan &plan, const HttpRequest &request, CallerRequest &call)
+{
+    call.requestClass = call.kind == ServiceKind::Plain ? RequestClass::Urgent : plan.defaultClass;
+    const auto text = request.header("X-Class");
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    const auto asked = valueOf(requestClassNames, text);
+    if (!asked) {
+        return invalid("X-Class must be urgent, interactive or batch");
+    }
+    // A caller may lower its class, but not raise it above what its plan and service give.
+    call.requestClass = std::max(call.requestClass, *asked);
+    return std::nullopt;
+}
+
+std::optional<Refusal> readBudget(const EntrySettings &settings, const HttpRequest &request, CallerRequest &call)
+{
+    call.budget = settings.defaultDeadline;
+    const auto text = request.header("X-Deadline-Ms");
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (ec != std::errc() || end != text.data() + text.size() || ms == 0) {
+        return invalid("X-Deadline-Ms must be a positive whole number");
+    }
+    call.budget = std::min(std::chrono::milliseconds(ms), settings.maxDeadline);
+    return std::nullopt;
+}
+
+std::optional<Refusal> readKey(const HttpRequest &request, CallerRequest &call)
+{
+    call.key = request.header("Idempotency-Key");
+    if (call.key.size() > maxKeyBytes || holdsControlBytes(call.key)) {
+        return invalid("Idempotency-Key must be at most 255 printable ASCII characters");
+    }
+    return std::nullopt;
+}
+
+std::optional<Refusal> readAll(const Document &document,
+                               const EntrySettings &settings,
+                               const HttpRequest &request,
+                               const Workspace &workspace,
+                               CallerRequest &call)
+{
+    const auto &plan = document.plans[workspace.plan];
+    call.id = makeRequestId();
+    call.workspace = workspace.name;
+    call.plan = plan.name;
+    call.method = request.method;
+    call.path = request.path;
+    call.contentType = request.header("Content-Type");
+    call.body = request.body;
+    if (auto refusal = readKey(request, call)) {
+        return refusal;
+    }
+    const bool isModel = request.path == completionsPath || request.path == chatPath;
+    if (!isModel && !request.path.starts_with(servicesPrefix)) {
+        return Refusal{404, "not_found", "unknown path", Verdict::NotRun, {}};
+    }
+    if (isModel && request.method != "POST") {
+        return Refusal{405, "method_not_allowed", "use POST", Verdict::NotRun, {}};
+    }
+    if (auto refusal = isModel ? readModelBody(document, plan, call) : readServicePath(document, plan, call)) {
+        return refusal;
+    }
+    if (!isModel && !request.query.empty()) {
+        call.path.append("?").append(request.query);
+    }
+    if (auto refusal = readClass(plan, request, call)) {
+        return refusal;
+    }
+    call.fingerprint = fingerprintOf(call);
+    return readBudget(settings, request, call);
+}
+
+} // namespace
+
+Verdict refusalVerdict(bool isIdempotent, bool hasKey)
+{
+    return hasKey && !isIdempotent ? Verdict::MayHaveRun : Verdict::NotRun;
+}
+
+std::variant<Id<Workspace>, Refusal> authenticate(const Document &document, const HttpRequest &request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto header = request.header("Authorization");
+    if (header.starts_with(scheme)) {
+        const auto id = findWorkspaceByKey(document, keyDigest(header.substr(scheme.size())));
+        if (id.isValid()) {
+            return id;
+        }
+    }
+    // A revoked key may belong to a call that ran before, so a call with an idempotency key is not told not-run.
+    return Refusal{401,
+                   "unauthorized",
+                   header.empty() ? "no key; send Authorization: Bearer KEY" : "unknown key",
+                   refusalVerdict(false, !request.header("Idempotency-Key").empty()),
+                   {}};
+}
+
+std::variant<CallerRequest, Refusal>
+readCallerRequest(const Document &document, const EntrySettings &settings, const HttpRequest &request)
+{
+    const auto workspace = authenticate(document, request);
+    if (const auto *refusal = std::get_if<Refusal>(&workspace)) {
+        return *refusal;
+    }
+    CallerRequest call;
+    if (request.body.size() > settings.maxBodyBytes) {
+        return Refusal{413,
+                       "too_large",
+                       "the body is larger than " + std::to_string(settings.maxBodyBytes) + " bytes",
+                       refusalVerdict(false, !request.header("Idempotency-Key").empty()),
+                       {}};
+    }
+    const auto &row = document.workspaces[std::get<Id<Workspace>>(workspace)];
+    if (auto refusal = readAll(document, settings, request, row, call)) {
+        refusal->verdict = refusalVerdict(call.isIdempotent, !call.key.empty());
+        return *refusal;
+    }
+    return call;
+}
+
+std::variant<Id<Service>, Refusal>
+readTicketRequest(const Document &document, Id<Workspace> workspace, const HttpRequest &request)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    if (request.method != "POST" || !body.is_object() || !body.contains("service") || !body["service"].is_string()) {
+        return invalid("use POST with the body {\"service\": NAME}");
+    }
+    const auto name = body["service"].get<std::string>();
+    const auto id = document.services.find(name);
+    const auto &allowed = document.plans[document.workspaces[workspace].plan].services;
+    if (!id.isValid() || document.services[id].kind != ServiceKind::Plain) {
+        return Refusal{404, "service_not_found", "there is no service \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    if (std::find(allowed.begin(), allowed.end(), id) == allowed.end()) {
+        return Refusal{
+            403, "forbidden", "this workspace may not use the service \"" + name + "\"", Verdict::NotRun, {}};
+    }
+    return id;
+}
+
+std::string refusalBody(const Refusal &refusal)
+{
+    const json body{
+        {"error", {{"type", refusal.type}, {"message", refusal.message}, {"verdict", verdictName(refusal.verdict)}}}};
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void sendRefusal(HttpResponder &responder, const Refusal &refusal)
+{
+    HttpHeaders headers{{"Content-Type", "application/json"}, {"X-Verdict", std::string(verdictName(refusal.verdict))}};
+    if (refusal.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
+        headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
+    }
+    responder.reply(refusal.status, std::move(headers), refusalBody(refusal));
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "log.h"
+#include "settings.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+namespace turmericline {
+
+/** Exit codes of the daemons and the tool. */
+enum ExitCode : int {
+    ExitOk = 0,
+    ExitFailure = 1,
+    ExitUsage = 2,
+};
+
+/**
+ * Main function of a daemon: checks the settings, then runs a Daemon until it stops. Prints one JSON line with the
+ * ports on standard output once it listens.
+ */
+template<typename Daemon, typename S, std::size_t N, typename Check, typename Announce>
+int runDaemon(std::string_view program,
+              const std::array<SettingRow<S>, N> &rows,
+              Check check,
+              std::string S::*instanceName,
+              Announce announce,
+              int argc,
+              const char *const *argv)
+{
+    auto parse = parseSettings(rows, argc, argv, [](const char *name) -> const char * {
+        return std::getenv(name);
+    });
+    if (parse.action == SettingsAction::Help) {
+        printHelp(std::cout, program, settingsHelp(rows));
+        return ExitOk;
+    }
+    if (parse.action == SettingsAction::Version) {
+        std::cout << program << " " << TURMERICLINE_VERSION << "\n";
+        return ExitOk;
+    }
+    check(parse);
+    if (!parse.faults.empty()) {
+        printFaults(std::cerr, parse.faults);
+        return ExitUsage;
+    }
+    if (parse.action == SettingsAction::Check) {
+        std::cout << "settings are valid\n";
+        return ExitOk;
+    }
+    initLog(valueOf(logLevelNames, parse.settings.logLevel).value_or(LogLevel::Info), parse.settings.*instanceName);
+    try {
+        asio::io_context io(1);
+        Daemon daemon(io, parse.settings);
+        std::cout << announce(daemon).dump() << std::endl;
+        io.run();
+        return ExitOk;
+    } catch (const std::exception &error) {
+        logEvent(LogLevel::Error, "stopped by an error", {{"reason", error.what()}});
+        return ExitFailure;
+    }
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,253 @@
+#include "entry.h"
+
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericline {
+
+namespace {
+
+std::vector<PeerKey> readKeys(const std::vector<std::string> &texts)
+{
+    std::vector<PeerKey> keys;
+    for (const auto &it : texts) {
+        if (auto key = parsePeerKey(it)) {
+            keys.push_back(std::move(*key.value));
+        }
+    }
+    return keys;
+}
+
+HttpServerConfig callerConfig(const EntrySettings &settings)
+{
+    HttpServerConfig config;
+    config.address = settings.address;
+    config.port = settings.port;
+    config.maxBodyBytes = settings.maxBodyBytes;
+    config.maxConnections = settings.maxConnections;
+    config.readTimeout = settings.readTimeout;
+    if (!settings.tlsCertificate.empty()) {
+        config.tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+        config.tls->use_certificate_chain_file(settings.tlsCertificate);
+        config.tls->use_private_key_file(settings.tlsKey, asio::ssl::context::pem);
+    }
+    return config;
+}
+
+} // namespace
+
+Entry::Entry(asio::io_context &io, EntrySettings settings)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_tls(readKeys(m_settings.peerKeys))
+    , m_http(io)
+    , m_agents(io, m_tls)
+    , m_tickets(m_agents, m_settings.domain)
+    , m_context{io,
+                m_settings,
+                m_document,
+                m_agents,
+                m_metrics,
+                [this](const EntryCall &call) {
+                    m_calls.erase(&call);
+                }}
+    , m_peerServer(io,
+                   m_tls,
+                   m_settings.address,
+                   m_settings.peerPort,
+                   [this](const std::shared_ptr<H2ServerStream> &stream) {
+                       handlePeer(*stream);
+                   })
+    , m_ops(io,
+            m_settings.address,
+            m_settings.opsPort,
+            {[this] {
+                 return isReady();
+             },
+             [this] {
+                 return m_metrics.text();
+             },
+             [this] {
+                 return status();
+             }})
+    , m_callers(
+          io,
+          callerConfig(m_settings),
+          [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+              handle(request, responder);
+          },
+          [this](std::uint64_t connection) {
+              onConnectionClosed(connection);
+          })
+    , m_drain(io,
+              {m_settings.drainNotice, m_settings.drainDeadline},
+              {[] {},
+               [this] {
+                   m_callers.stopListening();
+               },
+               [this] {
+                   return m_calls.empty();
+               },
+               [this] {
+                   m_io.stop();
+               }})
+    , m_platform(io,
+                 m_http,
+                 {m_settings.configUrl, m_settings.instancesUrl},
+                 {[this](const std::string &text) {
+                      applyDocument(text);
+                  },
+                  [] {},
+                  [this](const std::vector<InstanceInfo> &instances) {
+                      m_agents.setInstances(instances);
+                  },
+                  [this] {
+                      return m_document.version;
+                  },
+                  {}})
+{
+    m_platform.start();
+    logEvent(LogLevel::Info,
+             "entry started",
+             {{"port", port()}, {"ops_port", opsPort()}, {"peer_port", peerPort()}, {"domain", m_settings.domain}});
+}
+
+Entry::~Entry() = default;
+
+bool Entry::isReady() const
+{
+    return m_document.version != 0 && m_drain.phase() == DrainPhase::Serving;
+}
+
+void Entry::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (m_document.version == 0) {
+        sendRefusal(*responder,
+                    {503,
+                     "not_ready",
+                     "no configuration document has been received yet",
+                     refusalVerdict(false, !request.header("Idempotency-Key").empty()),
+                     std::chrono::seconds(1)});
+        return;
+    }
+    if (request.path == "/v1/models") {
+        handleModels(request, *responder);
+        return;
+    }
+    if (request.path == "/v1/tickets") {
+        handleTicket(request, responder);
+        return;
+    }
+    auto read = readCallerRequest(m_document, m_settings, request);
+    if (const auto *refusal = std::get_if<Refusal>(&read)) {
+        sendRefusal(*responder, *refusal);
+        return;
+    }
+    startCall(std::move(std::get<CallerRequest>(read)), request.connection, responder);
+}
+
+void Entry::startCall(CallerRequest request, std::uint64_t connection, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (m_calls.size() >= m_settings.maxCalls) {
+        sendRefusal(*responder,
+                    {503,
+                     "overloaded",
+                     "this entry has too many requests in flight",
+                     refusalVerdict(request.isIdempotent, !request.key.empty()),
+                     std::chrono::seconds(1)});
+        return;
+    }
+    auto call = std::make_shared<EntryCall>(m_context, std::move(request), responder);
+    m_calls.emplace(call.get(), call);
+    m_callOfConnection[connection] = call;
+    call->start();
+}
+
+void Entry::onConnectionClosed(std::uint64_t connection)
+{
+    const auto it = m_callOfConnection.find(connection);
+    if (it == m_callOfConnection.end()) {
+        return;
+    }
+    const auto call = it->second.lock();
+    m_callOfConnection.erase(it);
+    if (call) {
+        call->onCallerGone();
+    }
+}
+
+void Entry::handleModels(const HttpRequest &request, HttpResponder &responder) const
+{
+    const auto workspace = authenticate(m_document, request);
+    if (const auto *refusal = std::get_if<Refusal>(&workspace)) {
+        sendRefusal(responder, *refusal);
+        return;
+    }
+    auto data = nlohmann::json::array();
+    const auto &plan = m_document.plans[m_document.workspaces[std::get<Id<Workspace>>(workspace)].plan];
+    for (const auto id : plan.services) {
+        if (m_document.services[id].kind == ServiceKind::Model) {
+            data.push_back({{"id", m_document.services[id].model}, {"object", "model"}, {"owned_by", "turmericline"}});
+        }
+    }
+    responder.reply(200,
+                    {{"Content-Type", "application/json"}, {"X-Verdict", "run"}},
+                    nlohmann::json{{"object", "list"}, {"data", data}}.dump());
+}
+
+void Entry::handleTicket(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    const auto workspace = authenticate(m_document, request);
+    if (const auto *refusal = std::get_if<Refusal>(&workspace)) {
+        sendRefusal(*responder, *refusal);
+        return;
+    }
+    const auto service = readTicketRequest(m_document, std::get<Id<Workspace>>(workspace), request);
+    if (const auto *refusal = std::get_if<Refusal>(&service)) {
+        sendRefusal(*responder, *refusal);
+        return;
+    }
+    m_tickets.issue(m_document, std::get<Id<Service>>(service), responder);
+}
+
+void Entry::handlePeer(H2ServerStream &stream) const
+{
+    stream.reply(404, {}, {});
+}
+
+void Entry::applyDocument(const std::string &text)
+{
+    auto parse = parseDocument(text);
+    if (!parse.document) {
+        const auto &fault = parse.faults.front();
+        logEvent(LogLevel::Warning,
+                 "configuration document rejected",
+                 {{"faults", parse.faults.size()}, {"path", fault.path}, {"reason", fault.message}});
+        return;
+    }
+    if (parse.document->version <= m_document.version) {
+        return;
+    }
+    m_document = std::move(*parse.document);
+    m_documentSince = std::chrono::steady_clock::now();
+    m_agents.setDocument(m_document);
+    m_metrics.setDocument(m_document);
+    logEvent(LogLevel::Info, "configuration in force", {{"version", m_document.version}});
+}
+
+nlohmann::json Entry::status() const
+{
+    const auto age = std::chrono::steady_clock::now() - m_documentSince;
+    return {{"name", m_settings.name},
+            {"domain", m_settings.domain},
+            {"ready", isReady()},
+            {"version", m_document.version},
+            {"version_age_s", std::chrono::duration_cast<std::chrono::seconds>(age).count()},
+            {"calls", m_calls.size()},
+            {"connections", m_callers.connectionCount()},
+            {"platform_calls", m_platform.callCount()},
+            {"servers", m_agents.status(m_document)}};
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "agent_pool.h"
+#include "drain.h"
+#include "entry_call.h"
+#include "entry_settings.h"
+#include "h2_server.h"
+#include "http_client.h"
+#include "metrics.h"
+#include "ops_server.h"
+#include "platform_client.h"
+#include "ticket_issuer.h"
+
+#include <asio/io_context.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace turmericline {
+
+/** The process that callers reach: accepts, checks and routes their requests. */
+class Entry
+{
+public:
+    /** Throws std::exception if it cannot listen. */
+    Entry(asio::io_context &io, EntrySettings settings);
+    ~Entry();
+    Entry(const Entry &) = delete;
+    Entry &operator=(const Entry &) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_callers.port();
+    }
+    std::uint16_t opsPort() const
+    {
+        return m_ops.port();
+    }
+    std::uint16_t peerPort() const
+    {
+        return m_peerServer.port();
+    }
+
+private:
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void handleModels(const HttpRequest &request, HttpResponder &responder) const;
+    void handleTicket(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void startCall(CallerRequest request, std::uint64_t connection, const std::shared_ptr<HttpResponder> &responder);
+    void onConnectionClosed(std::uint64_t connection);
+    void handlePeer(H2ServerStream &stream) const;
+    void applyDocument(const std::string &text);
+    bool isReady() const;
+    nlohmann::json status() const;
+
+    asio::io_context &m_io;
+    EntrySettings m_settings;
+    PeerTls m_tls;
+    HttpClient m_http;
+    Metrics m_metrics;
+    Document m_document;
+    std::chrono::steady_clock::time_point m_documentSince;
+    AgentPool m_agents;
+    TicketIssuer m_tickets;
+    EntryContext m_context;
+    std::unordered_map<const EntryCall *, std::shared_ptr<EntryCall>> m_calls;
+    std::unordered_map<std::uint64_t, std::weak_ptr<EntryCall>> m_callOfConnection;
+    H2Server m_peerServer;
+    OpsServer m_ops;
+    HttpServer m_callers;
+    DrainControl m_drain;
+    PlatformClient m_platform;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/entry_call.cpp
@@ -0,0 +1,389 @@
+#include "entry_call.h"
+
+#include "log.h"
+#include "ticket.h"
+#include "verdict.h"
+#include "wire.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::uint32_t maxAttempts = 3;
+constexpr std::size_t maxAnswerBytes = 8U << 20U;
+constexpr std::chrono::milliseconds defaultRetryAfter{1'000};
+
+HttpHeaders callerHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders kept;
+    for (const auto &[name, value] : headers) {
+        if (!name.starts_with("tl-") && name != "content-length") {
+            kept.emplace_back(name, value);
+        }
+    }
+    if (headerValue(headers, wire::replayed) == "1") {
+        kept.emplace_back("Idempotent-Replayed", "true");
+    }
+    return kept;
+}
+
+std::optional<std::chrono::milliseconds> retryAfterOf(const HttpHeaders &headers)
+{
+    const auto text = headerValue(headers, wire::retryAfterMs);
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    return ec == std::errc() && !text.empty() ? std::optional(std::chrono::milliseconds(ms)) : std::nullopt;
+}
+
+} // namespace
+
+EntryCall::EntryCall(EntryContext &context, CallerRequest request, std::shared_ptr<HttpResponder> responder)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_responder(std::move(responder))
+    , m_started(Clock::now())
+    , m_deadline(m_started + m_request.budget)
+    , m_timer(context.io)
+{
+}
+
+void EntryCall::start()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([self = shared_from_this()](asio::error_code ec) {
+        if (!ec) {
+            self->onDeadline();
+        }
+    });
+    if (!m_request.isIdempotent && !m_request.key.empty()) {
+        m_ticket = parseTicket(m_request.key);
+    }
+    if (m_ticket) {
+        attemptTicket();
+    } else {
+        attempt();
+    }
+}
+
+void EntryCall::attemptTicket()
+{
+    const auto peer = m_context.agents.find(m_ticket->server);
+    if (!peer) {
+        giveUp({409,
+                "ticket_not_valid",
+                "the backend server of this ticket is not in the configuration any more",
+                Verdict::MayHaveRun,
+                {}});
+        return;
+    }
+    send(peer);
+}
+
+void EntryCall::attempt()
+{
+    const auto service = m_context.document.services.find(m_request.service);
+    const auto found = m_context.agents.candidates(m_context.document, service, m_tried);
+    if (found.empty()) {
+        onNoServer();
+        return;
+    }
+    const auto now = Clock::now();
+    const auto cost = [&](const std::shared_ptr<AgentPeer> &peer) {
+        const auto avoided = now < peer->avoidUntil ? 1'000'000U : 0U;
+        const auto remote = peer->domain != m_context.settings.domain ? 1U : 0U;
+        return avoided + 2 * peer->inFlight + 4 * peer->reportedQueued + remote;
+    };
+    send(*std::min_element(found.begin(), found.end(), [&](const auto &a, const auto &b) {
+        return cost(a) < cost(b);
+    }));
+}
+
+H2Request EntryCall::wireRequest() const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - Clock::now());
+    H2Request request;
+    request.path = "/run";
+    request.body = m_request.body;
+    const auto add = [&request](std::string_view name, std::string value) {
+        request.headers.emplace_back(name, std::move(value));
+    };
+    add(wire::request, m_request.id);
+    add(wire::attempt, std::to_string(m_attempts));
+    add(wire::workspace, m_request.workspace);
+    add(wire::requestClass, std::string(nameOf(requestClassNames, m_request.requestClass)));
+    add(wire::service, m_request.service);
+    add(wire::method, m_request.method);
+    add(wire::path, m_request.path);
+    add(wire::fingerprint, m_request.fingerprint);
+    add(wire::budgetMs, std::to_string(std::max<std::int64_t>(1, left.count())));
+    add(wire::idempotent, m_request.isIdempotent ? "1" : "0");
+    if (m_ticket) {
+        add(wire::key, formatTicket(*m_ticket));
+    }
+    if (!m_request.key.empty()) {
+        add(wire::callerKey, m_request.key);
+    }
+    if (!m_request.contentType.empty()) {
+        add(wire::contentType, m_request.contentType);
+    }
+    if (m_relay.nextOffset() > 0) {
+        add(wire::resume, std::to_string(m_relay.nextOffset()));
+    }
+    return request;
+}
+
+void EntryCall::send(const std::shared_ptr<AgentPeer> &peer)
+{
+    ++m_attempts;
+    m_tried.push_back(peer->name);
+    m_peer = peer;
+    ++peer->inFlight;
+    m_status = 0;
+    m_headers.clear();
+    m_body.clear();
+    m_relay.beginAttempt();
+    const auto self = shared_from_this();
+    m_stream = peer->client->start(wireRequest(),
+                                   {[self](int status, const HttpHeaders &headers) {
+                                        self->onHead(status, headers);
+                                    },
+                                    [self](std::string_view chunk) {
+                                        self->onBody(chunk);
+                                    },
+                                    [self](const H2Result &result) {
+                                        self->onDone(result);
+                                    }});
+}
+
+void EntryCall::onHead(int status, const HttpHeaders &headers)
+{
+    m_peer->hear(headers, Clock::now());
+    m_status = status;
+    m_retryAfter = retryAfterOf(headers);
+    m_headers = callerHeaders(headers);
+}
+
+void EntryCall::onBody(std::string_view chunk)
+{
+    if (m_request.isStream && m_status == 200) {
+        relayToCaller(chunk);
+        return;
+    }
+    m_peer->client->consume(m_stream, chunk.size());
+    if (m_body.size() + chunk.size() > maxAnswerBytes) {
+        m_peer->client->cancel(m_stream);
+        endAttempt();
+        giveUp({502, "answer_too_large", "the answer is larger than this entry relays", Verdict::MayHaveRun, {}});
+        return;
+    }
+    m_body.append(chunk);
+}
+
+void EntryCall::relayToCaller(std::string_view chunk)
+{
+    auto out = m_relay.feed(chunk);
+    const auto release = [client = std::weak_ptr(m_peer), stream = m_stream, n = chunk.size()](bool) {
+        if (const auto peer = client.lock()) {
+            peer->client->consume(stream, n);
+        }
+    };
+    if (out.empty()) {
+        release(true);
+    } else {
+        const auto now = Clock::now();
+        if (!m_firstToken) {
+            m_firstToken = now - m_started;
+        } else {
+            m_context.metrics.recordTokenGap(m_request.workspace, m_request.requestClass, now - m_lastToken);
+        }
+        m_lastToken = now;
+        if (!m_streamBegun) {
+            m_streamBegun = true;
+            m_responder->beginStream(
+                200,
+                {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", m_request.id}});
+        }
+        m_responder->write(std::move(out), release);
+    }
+    if (m_relay.state() == RelayState::Gap || m_relay.state() == RelayState::TooLong) {
+        const auto peer = m_peer;
+        peer->client->cancel(m_stream);
+        peer->fail(Clock::now());
+        endAttempt();
+        onAttemptFailed(Verdict::MayHaveRun, "backend server sent a broken stream");
+    }
+}
+
+void EntryCall::endAttempt()
+{
+    if (m_peer) {
+        --m_peer->inFlight;
+        m_peer.reset();
+        m_stream = 0;
+    }
+}
+
+void EntryCall::onDone(const H2Result &result)
+{
+    const auto peer = m_peer;
+    endAttempt();
+    auto verdict = Verdict::MayHaveRun;
+    std::string reason = result.error;
+    if (result.complete) {
+        verdict = parseVerdict(headerValue(result.trailers, wire::verdict));
+        reason = headerValue(result.trailers, wire::reason);
+        peer->succeed();
+    } else {
+        peer->fail(Clock::now());
+        // Another copy of a ticket may have reached its agent, whatever became of this one.
+        verdict = result.sent || m_ticket ? Verdict::MayHaveRun : Verdict::NotRun;
+    }
+    if (verdict != Verdict::NotRun) {
+        m_everSent = true;
+    }
+    const bool isWhole = !m_request.isStream || m_status != 200 || m_relay.state() == RelayState::Finished;
+    if (verdict == Verdict::Run && isWhole) {
+        answer();
+    } else {
+        onAttemptFailed(verdict == Verdict::Run ? Verdict::MayHaveRun : verdict,
+                        reason.empty() ? "backend server ended the answer early" : reason);
+    }
+}
+
+bool EntryCall::mayRetry(Verdict verdict) const
+{
+    const bool isAllowed = verdict == Verdict::NotRun || m_request.isIdempotent;
+    return isAllowed && !m_ticket && m_attempts < maxAttempts && Clock::now() < m_deadline;
+}
+
+void EntryCall::onAttemptFailed(Verdict verdict, const std::string &reason)
+{
+    if (m_isDone) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "attempt failed",
+             {{"request", m_request.id},
+              {"attempt", m_attempts},
+              {"server", m_tried.empty() ? "" : m_tried.back()},
+              {"verdict", verdictName(verdict)},
+              {"reason", reason}});
+    if (mayRetry(verdict)) {
+        attempt();
+        return;
+    }
+    const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
+    giveUp({503, "unavailable", reason, overall, m_retryAfter.value_or(defaultRetryAfter)});
+}
+
+void EntryCall::onNoServer()
+{
+    const auto verdict
+        = m_everSent ? Verdict::MayHaveRun : refusalVerdict(m_request.isIdempotent, !m_request.key.empty());
+    giveUp({503,
+            "unavailable",
+            "no backend server of the service can take the request now",
+            verdict,
+            m_retryAfter.value_or(defaultRetryAfter)});
+}
+
+void EntryCall::onDeadline()
+{
+    if (m_isDone) {
+        return;
+    }
+    if (m_peer) {
+        m_peer->client->cancel(m_stream);
+        m_everSent = true;
+        endAttempt();
+    }
+    const auto verdict
+        = m_everSent ? Verdict::MayHaveRun : refusalVerdict(m_request.isIdempotent, !m_request.key.empty());
+    giveUp(
+        {504, "deadline_exceeded", "the deadline passed before the answer was complete", verdict, defaultRetryAfter});
+}
+
+void EntryCall::onCallerGone()
+{
+    if (m_isDone) {
+        return;
+    }
+    // A non-idempotent call goes on, so that a resent copy of it gets the answer.
+    if (m_peer && m_request.isIdempotent) {
+        m_peer->client->cancel(m_stream);
+        endAttempt();
+        close(Verdict::MayHaveRun, 499, "caller closed the connection");
+    }
+}
+
+void EntryCall::answer()
+{
+    if (m_request.isStream && m_status == 200) {
+        finishStream(true, Verdict::Run, {});
+        return;
+    }
+    auto headers = m_headers;
+    headers.emplace_back("X-Verdict", std::string(verdictName(Verdict::Run)));
+    headers.emplace_back("X-Request-Id", m_request.id);
+    m_responder->reply(m_status, std::move(headers), std::move(m_body));
+    close(Verdict::Run, m_status, {});
+}
+
+void EntryCall::finishStream(bool complete, Verdict verdict, const std::string &reason)
+{
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_responder->beginStream(200, {{"Content-Type", "text/event-stream"}, {"X-Request-Id", m_request.id}});
+    }
+    nlohmann::json data{{"verdict", verdictName(verdict)}, {"complete", complete}};
+    if (!reason.empty()) {
+        data["reason"] = reason;
+    }
+    std::string out = complete ? "data: [DONE]\n\n" : "";
+    out += "event: verdict\ndata: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
+    m_responder->write(std::move(out), {});
+    m_responder->endStream();
+    close(verdict, 200, reason);
+}
+
+void EntryCall::giveUp(Refusal refusal)
+{
+    if (m_isDone) {
+        return;
+    }
+    if (m_streamBegun) {
+        finishStream(false, refusal.verdict, refusal.message);
+        return;
+    }
+    sendRefusal(*m_responder, refusal);
+    close(refusal.verdict, refusal.status, refusal.message);
+}
+
+void EntryCall::close(Verdict verdict, int status, const std::string &reason)
+{
+    m_isDone = true;
+    m_timer.cancel();
+    const auto total = Clock::now() - m_started;
+    m_context.metrics.recordRequest(
+        {m_request.workspace, m_request.requestClass, verdict, status, total, m_firstToken});
+    logEvent(LogLevel::Info,
+             "request done",
+             {{"request", m_request.id},
+              {"workspace", m_request.workspace},
+              {"class", nameOf(requestClassNames, m_request.requestClass)},
+              {"service", m_request.service},
+              {"verdict", verdictName(verdict)},
+              {"status", status},
+              {"attempts", m_attempts},
+              {"server", m_tried.empty() ? "" : m_tried.back()},
+              {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()},
+              {"reason", reason}});
+    m_context.onDone(*this);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/entry_call.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "agent_pool.h"
+#include "caller_request.h"
+#include "metrics.h"
+#include "ticket_type.h"
+#include "token_relay.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+class EntryCall;
+
+/** What a call needs of its entry. */
+struct EntryContext
+{
+    asio::io_context &io;
+    const EntrySettings &settings;
+    const Document &document;
+    AgentPool &agents;
+    Metrics &metrics;
+    std::function<void(const EntryCall &)> onDone;
+};
+
+/** One request of a caller, from its acceptance to its answer, over one or more attempts. */
+class EntryCall : public std::enable_shared_from_this<EntryCall>
+{
+public:
+    using Clock = std::chrono::steady_clock;
+
+    EntryCall(EntryContext &context, CallerRequest request, std::shared_ptr<HttpResponder> responder);
+
+    void start();
+    /** The caller's connection was closed. */
+    void onCallerGone();
+
+private:
+    void attempt();
+    void attemptTicket();
+    void send(const std::shared_ptr<AgentPeer> &peer);
+    H2Request wireRequest() const;
+    void onHead(int status, const HttpHeaders &headers);
+    void onBody(std::string_view chunk);
+    void onDone(const H2Result &result);
+    void relayToCaller(std::string_view chunk);
+    void endAttempt();
+    void onAttemptFailed(Verdict verdict, const std::string &reason);
+    bool mayRetry(Verdict verdict) const;
+    void onDeadline();
+    void onNoServer();
+
+    void answer();
+    void finishStream(bool complete, Verdict verdict, const std::string &reason);
+    void giveUp(Refusal refusal);
+    void close(Verdict verdict, int status, const std::string &reason);
+
+    EntryContext &m_context;
+    CallerRequest m_request;
+    std::shared_ptr<HttpResponder> m_responder;
+    Clock::time_point m_started;
+    Clock::time_point m_deadline;
+    asio::steady_timer m_timer;
+
+    std::optional<Ticket> m_ticket; ///< Set for a keyed non-idempotent call: the only agent that may run it.
+    std::uint32_t m_attempts = 0;
+    std::vector<std::string> m_tried;
+    std::shared_ptr<AgentPeer> m_peer; ///< Of the attempt in flight.
+    H2Client::StreamId m_stream = 0;
+    bool m_everSent = false; ///< Some attempt may have reached a backend server.
+    int m_status = 0;
+    HttpHeaders m_headers;
+    std::string m_body;
+    std::optional<std::chrono::milliseconds> m_retryAfter;
+
+    TokenRelay m_relay;
+    bool m_streamBegun = false;
+    std::optional<Clock::duration> m_firstToken;
+    Clock::time_point m_lastToken;
+    bool m_isDone = false;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/entry_main.cpp
@@ -0,0 +1,42 @@
+#include "daemon.h"
+#include "entry.h"
+
+using namespace turmericline;
+
+namespace {
+
+void checkTogether(SettingsParse<EntrySettings> &parse)
+{
+    const auto &s = parse.settings;
+    if (s.tlsCertificate.empty() != s.tlsKey.empty()) {
+        parse.faults.push_back({"tls-key", s.tlsKey, "tls-certificate and tls-key together, or neither"});
+    }
+    if (s.peerKeys.size() > 2) {
+        parse.faults.push_back({"peer-key", "", "at most two keys"});
+    }
+    if (s.configUrl.empty() && s.peers.empty()) {
+        parse.faults.push_back({"config-url", "", "a configuration service or at least one peer"});
+    }
+    if (s.defaultDeadline > s.maxDeadline) {
+        parse.faults.push_back({"default-deadline-ms",
+                                std::to_string(s.defaultDeadline.count()),
+                                "at most max-deadline-ms, " + std::to_string(s.maxDeadline.count())});
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runDaemon<Entry>(
+        "turmericline-entry",
+        entrySettingRows,
+        checkTogether,
+        &EntrySettings::name,
+        [](const Entry &entry) {
+            return nlohmann::json{
+                {"port", entry.port()}, {"ops_port", entry.opsPort()}, {"peer_port", entry.peerPort()}};
+        },
+        argc,
+        argv);
+}
--- /dev/null
+++ b/src/entry_settings.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "settings.h"
+
+namespace turmericline {
+
+/** Settings of turmericline-entry. */
+struct EntrySettings
+{
+    std::string name;
+    std::string domain;
+    std::string address;
+    std::uint16_t port = 0;
+    std::uint16_t opsPort = 0;
+    std::uint16_t peerPort = 0;
+    std::string configUrl;
+    std::string instancesUrl;
+    std::vector<std::string> peerKeys;
+    std::vector<std::string> peers;
+    std::string tlsCertificate;
+    std::string tlsKey;
+    std::string logLevel;
+    std::chrono::milliseconds drainNotice{};
+    std::chrono::milliseconds drainDeadline{};
+    std::chrono::milliseconds defaultDeadline{};
+    std::chrono::milliseconds maxDeadline{};
+    std::chrono::milliseconds readTimeout{};
+    std::uint64_t maxBodyBytes = 0;
+    std::uint64_t maxConnections = 0;
+    std::uint64_t maxCalls = 0;
+};
+
+inline constexpr std::array<SettingRow<EntrySettings>, 21> entrySettingRows{{
+    {"name", &EntrySettings::name, "", "name of this instance", true, 0, 0, checkName},
+    {"domain", &EntrySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
+    {"address", &EntrySettings::address, "127.0.0.1", "IP address to listen on", false, 0, 0, checkIp},
+    {"port", &EntrySettings::port, "0", "port for callers; 0 takes a free one", false, 0, 65535},
+    {"ops-port", &EntrySettings::opsPort, "0", "operators' port; 0 takes a free one", false, 0, 65535},
+    {"peer-port", &EntrySettings::peerPort, "0", "port for other entries; 0 takes a free one", false, 0, 65535},
+    {"config-url", &EntrySettings::configUrl, "", "URL of the configuration service", false, 0, 0, checkUrl},
+    {"instances-url", &EntrySettings::instancesUrl, "", "URL of the instance list", false, 0, 0, checkUrl},
+    {"peer-key",
+     &EntrySettings::peerKeys,
+     "",
+     "name:hex, once or twice; the first one is used to dial",
+     true,
+     0,
+     0,
+     checkPeerKey},
+    {"peer", &EntrySettings::peers, "", "IP:PORT of another entry's peer port; repeatable", false, 0, 0, checkAddress},
+    {"tls-certificate", &EntrySettings::tlsCertificate, "", "PEM file; callers use TLS if this and tls-key are set"},
+    {"tls-key", &EntrySettings::tlsKey, "", "PEM file of the private key"},
+    {"log-level", &EntrySettings::logLevel, "info", "debug, info, warning or error", false, 0, 0, checkLogLevel},
+    {"drain-notice-ms",
+     &EntrySettings::drainNotice,
+     "5000",
+     "time the listener stays open after SIGTERM",
+     false,
+     0,
+     600'000},
+    {"drain-deadline-ms",
+     &EntrySettings::drainDeadline,
+     "120000",
+     "time for requests in flight",
+     false,
+     100,
+     3'600'000},
+    {"default-deadline-ms",
+     &EntrySettings::defaultDeadline,
+     "60000",
+     "for callers that send no X-Deadline-Ms",
+     false,
+     10,
+     3'600'000},
+    {"max-deadline-ms",
+     &EntrySettings::maxDeadline,
+     "600000",
+     "longest deadline a caller may ask for",
+     false,
+     10,
+     3'600'000},
+    {"read-timeout-ms",
+     &EntrySettings::readTimeout,
+     "10000",
+     "time for a caller to send a whole request",
+     false,
+     100,
+     600'000},
+    {"max-body-bytes", &EntrySettings::maxBodyBytes, "1048576", "larger requests get 413", false, 1'024, 4'194'304},
+    {"max-connections", &EntrySettings::maxConnections, "4096", "connections of callers", false, 8, 100'000},
+    {"max-calls", &EntrySettings::maxCalls, "4096", "requests in flight; more get 503", false, 1, 100'000},
+}};
+
+} // namespace turmericline
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -199,6 +199,10 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         }
+        if (request.freshConnection) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
         if (request.maxBytes != 0) {
             curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(request.maxBytes));
         }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -19,6 +19,7 @@
     std::string body;
     std::chrono::milliseconds connectTimeout{2'000};
     std::chrono::milliseconds totalTimeout{0}; ///< 0 for none.
+    bool freshConnection = false; ///< Uses a connection of its own, so that libcurl never sends the request twice.
     std::size_t maxBytes = 0; ///< Bytes of a body that onBody does not take; 0 for no limit.
 };
 
--- /dev/null
+++ b/src/ops_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <string>
+
+namespace turmericline {
+
+/** What a daemon shows on its operators' port. */
+struct OpsHandlers
+{
+    std::function<bool()> isReady;
+    std::function<std::string()> metrics;
+    std::function<nlohmann::json()> status;
+};
+
+/** Operators' port: /healthz, /readyz, /metrics and /status. */
+class OpsServer
+{
+public:
+    OpsServer(asio::io_context &io, const std::string &address, std::uint16_t port, OpsHandlers handlers);
+
+    std::uint16_t port() const
+    {
+        return m_server.port();
+    }
+
+private:
+    void handle(const HttpRequest &request, HttpResponder &responder) const;
+
+    OpsHandlers m_handlers;
+    HttpServer m_server;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/platform_client.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "http_client.h"
+#include "verdict_type.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+/** A row of the platform's instance list. */
+struct InstanceInfo
+{
+    std::string name;
+    std::string role; ///< "entry" or "agent".
+    std::string domain;
+    std::string address; ///< "IP:PORT" for peers.
+    bool isLeaving = false;
+};
+
+struct PlatformClientConfig
+{
+    std::string configUrl; ///< Empty: no configuration service is asked.
+    std::string instancesUrl; ///< Empty: no instance list is read.
+    std::chrono::milliseconds watchWait{20'000};
+    std::chrono::milliseconds minRetry{200};
+    std::chrono::milliseconds maxRetry{5'000};
+    std::chrono::milliseconds instancesInterval{1'000};
+};
+
+/** Watches the configuration service and polls the instance list. */
+class PlatformClient
+{
+public:
+    struct Handlers
+    {
+        std::function<void(std::string text)> onDocument;
+        /** The service confirmed that it has nothing newer than what was asked for. */
+        std::function<void()> onConfirmed;
+        std::function<void(std::vector<InstanceInfo> instances)> onInstances;
+        /** Highest version known to this process, which the watch asks for changes of. */
+        std::function<std::uint64_t()> knownVersion;
+        /** Whether this process should watch now; asked before each call. */
+        std::function<bool()> isWatcher;
+    };
+
+    PlatformClient(asio::io_context &io, HttpClient &http, PlatformClientConfig config, Handlers handlers);
+    ~PlatformClient();
+    PlatformClient(const PlatformClient &) = delete;
+    PlatformClient &operator=(const PlatformClient &) = delete;
+
+    void start();
+    std::uint64_t callCount() const
+    {
+        return m_calls;
+    }
+
+private:
+    void watch();
+    void watchAgain(bool failed);
+    void pollInstances();
+
+    HttpClient &m_http;
+    PlatformClientConfig m_config;
+    Handlers m_handlers;
+    asio::steady_timer m_watchTimer;
+    asio::steady_timer m_instancesTimer;
+    HttpClient::RequestId m_watchRequest = 0;
+    HttpClient::RequestId m_instancesRequest = 0;
+    std::chrono::milliseconds m_retry;
+    std::uint64_t m_calls = 0;
+};
+
+/** Reads the instance list; rows with faults make the whole list invalid. */
+Result<std::vector<InstanceInfo>> parseInstances(std::string_view text);
+
+} // namespace turmericline
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include "h2_client.h"
+#include "log.h"
 #include "peer_tls.h"
 
 #include <boost/program_options.hpp>
@@ -139,6 +140,16 @@
     return parseAddress(value) ? "" : "IP:PORT";
 }
 
+std::string checkIp(const std::string &value)
+{
+    return parseAddress("[" + value + "]:1") ? "" : "an IP address";
+}
+
+std::string checkLogLevel(const std::string &value)
+{
+    return valueOf(logLevelNames, value) ? "" : "debug, info, warning or error";
+}
+
 std::string checkName(const std::string &value)
 {
     const bool valid
--- a/src/settings.h
+++ b/src/settings.h
@@ -2,6 +2,7 @@
 
 #include "settings_type.h"
 
+#include <array>
 #include <charconv>
 #include <functional>
 #include <map>
@@ -42,6 +43,8 @@
 
 /** Allowed values of common kinds of text. */
 std::string checkAddress(const std::string &value);
+std::string checkIp(const std::string &value);
+std::string checkLogLevel(const std::string &value);
 std::string checkName(const std::string &value);
 std::string checkPeerKey(const std::string &value);
 std::string checkUrl(const std::string &value);
--- /dev/null
+++ b/src/tool_main.cpp
@@ -0,0 +1,56 @@
+#include "daemon.h"
+#include "document_tool.h"
+#include "status_tool.h"
+
+#include <array>
+
+using namespace turmericline;
+
+namespace {
+
+using Command = int (*)(int argc, const char *const *argv, std::ostream &out, std::ostream &err);
+
+struct CommandRow
+{
+    std::string_view name;
+    Command run;
+    std::string_view help;
+};
+
+constexpr std::array<CommandRow, 3> commands{{
+    {"check", runCheck, "check DOCUMENT: report every fault of a configuration document with its JSON path"},
+    {"schema", runSchema, "schema: print the JSON Schema of the configuration document"},
+    {"status", runStatus, "status --entry IP:PORT: print what an entry believes (operators' port)"},
+}};
+
+void printUsage(std::ostream &out)
+{
+    out << "Usage: turmericline COMMAND [ARGUMENTS]\n\n";
+    for (const auto &it : commands) {
+        out << "  " << it.help << "\n";
+    }
+    out << "\n  --help, --version\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    if (name == "--help") {
+        printUsage(std::cout);
+        return ExitOk;
+    }
+    if (name == "--version") {
+        std::cout << "turmericline " << TURMERICLINE_VERSION << "\n";
+        return ExitOk;
+    }
+    for (const auto &it : commands) {
+        if (it.name == name) {
+            return it.run(argc - 1, argv + 1, std::cout, std::cerr);
+        }
+    }
+    std::cerr << (name.empty() ? "error: no command given\n" : "error: unknown command " + std::string(name) + "\n");
+    printUsage(std::cerr);
+    return ExitUsage;
+}
