--- a/src/document_type.h
+++ b/src/document_type.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace turmericline {
@@ -113,6 +114,11 @@
     Pool<Plan> plans;
     Pool<Workspace> workspaces;
     PlacementSettings placement;
+
+    /** Index over the key digests of all workspaces. */
+    std::unordered_map<std::string, Id<Workspace>, StringHash, std::equal_to<>> workspaceByKey;
+    /** Backend servers of each service, by index of the service. */
+    std::vector<std::vector<Id<BackendServer>>> serversByService;
 };
 
 /** A fault of a document and the JSON path where it was found, such as "$.plans[2].weight". */
