--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -180,7 +180,7 @@
     }
     stream.reply(
         status,
-        std::move(headers),
+        headers,
         {},
         {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
 }
@@ -190,7 +190,7 @@
     auto headers = standardHeaders();
     headers.insert(headers.end(), answer.headers.begin(), answer.headers.end());
     headers.emplace_back(wire::replayed, "1");
-    stream.reply(answer.status, std::move(headers), answer.body, {{std::string(wire::verdict), "run"}});
+    stream.reply(answer.status, headers, answer.body, {{std::string(wire::verdict), "run"}});
 }
 
 void Agent::handleRun(const std::shared_ptr<H2ServerStream> &stream)
@@ -309,7 +309,7 @@
     if (call->stream) {
         auto all = standardHeaders();
         std::move(kept.begin(), kept.end(), std::back_inserter(all));
-        call->stream->respond(status, std::move(all));
+        call->stream->respond(status, all);
     }
     call->headSent = true;
 }
@@ -428,7 +428,7 @@
         headers.emplace_back(wire::ticket, result.ticket);
     }
     stream.reply(result.binding == Binding::Bound ? 200 : 409,
-                 std::move(headers),
+                 headers,
                  {},
                  {{std::string(wire::verdict), std::string(verdictName(result.verdict))},
                   {std::string(wire::reason), "key was not bound"}});
--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -48,7 +48,7 @@
 std::string formatAgentAge(const AgentAge &age)
 {
     std::array<char, 16> hex{};
-    const auto *const end = std::to_chars(hex.data(), hex.data() + hex.size(), age.incarnation, 16).ptr;
+    auto *const end = std::to_chars(hex.data(), hex.data() + hex.size(), age.incarnation, 16).ptr;
     return std::string(hex.data(), end) + "." + std::to_string(age.tick);
 }
 
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -351,7 +351,7 @@
     close(verdict, 200, reason);
 }
 
-void EntryCall::giveUp(Refusal refusal)
+void EntryCall::giveUp(const Refusal &refusal)
 {
     if (m_isDone) {
         return;
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -58,7 +58,7 @@
 
     void answer();
     void finishStream(bool complete, Verdict verdict, const std::string &reason);
-    void giveUp(Refusal refusal);
+    void giveUp(const Refusal &refusal);
     void close(Verdict verdict, int status, const std::string &reason);
 
     EntryContext &m_context;
--- a/src/h2_server.cpp
+++ b/src/h2_server.cpp
@@ -161,7 +161,7 @@
 {
 }
 
-void H2ServerStream::respond(int status, HttpHeaders headers)
+void H2ServerStream::respond(int status, const HttpHeaders &headers)
 {
     if (const auto connection = m_connection.lock(); connection && !m_responded && connection->hasStream(m_id)) {
         m_responded = true;
@@ -188,9 +188,9 @@
     }
 }
 
-void H2ServerStream::reply(int status, HttpHeaders headers, std::string body, HttpHeaders trailers)
+void H2ServerStream::reply(int status, const HttpHeaders &headers, std::string body, HttpHeaders trailers)
 {
-    respond(status, std::move(headers));
+    respond(status, headers);
     write(std::move(body));
     end(std::move(trailers));
 }
--- a/src/h2_server.h
+++ b/src/h2_server.h
@@ -30,11 +30,11 @@
     }
 
     /** Starts the answer; the body follows with write() and end(). */
-    void respond(int status, HttpHeaders headers);
+    void respond(int status, const HttpHeaders &headers);
     void write(std::string chunk);
     void end(HttpHeaders trailers = {});
     /** Sends a whole answer. */
-    void reply(int status, HttpHeaders headers, std::string body, HttpHeaders trailers = {});
+    void reply(int status, const HttpHeaders &headers, std::string body, HttpHeaders trailers = {});
     /** Body bytes that the peer has not taken yet. */
     std::size_t pendingBytes() const;
     bool isOpen() const;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -50,7 +50,7 @@
     bl::core::get()->add_sink(sink);
 }
 
-void logEvent(LogLevel level, std::string_view message, nlohmann::ordered_json fields)
+void logEvent(LogLevel level, std::string_view message, const nlohmann::ordered_json &fields)
 {
     if (level < minimumLevel || instanceName.empty()) {
         return;
--- a/src/log.h
+++ b/src/log.h
@@ -28,6 +28,6 @@
 /** Writes one JSON line with the time, level, message and @p fields. */
 void logEvent(LogLevel level,
               std::string_view message,
-              nlohmann::ordered_json fields = nlohmann::ordered_json::object());
+              const nlohmann::ordered_json &fields = nlohmann::ordered_json::object());
 
 } // namespace turmericline
--- a/src/peer_tls.cpp
+++ b/src/peer_tls.cpp
@@ -2,7 +2,7 @@
 
 #include <openssl/ssl.h>
 
-#include <cstring>
+#include <algorithm>
 #include <stdexcept>
 
 namespace turmericline {
@@ -31,7 +31,7 @@
     if (key.secret.size() > size) {
         return 0;
     }
-    std::memcpy(buf, key.secret.data(), key.secret.size());
+    std::copy(key.secret.begin(), key.secret.end(), buf);
     return static_cast<unsigned int>(key.secret.size());
 }
 
@@ -42,7 +42,7 @@
     if (key.name.size() + 1 > idSize) {
         return 0;
     }
-    std::memcpy(identity, key.name.c_str(), key.name.size() + 1);
+    identity[key.name.copy(identity, idSize - 1)] = '\0';
     return copySecret(key, buf, size);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -157,6 +157,7 @@
 std::vector<SettingHelp> settingsHelp(const std::array<SettingRow<S>, N> &rows)
 {
     std::vector<SettingHelp> help;
+    help.reserve(N);
     for (const auto &it : rows) {
         help.push_back({it.name,
                         it.defaultText,
--- a/src/tool_main.cpp
+++ b/src/tool_main.cpp
@@ -17,9 +17,18 @@
     std::string_view help;
 };
 
+/** Calls a command that takes its arguments without its own name. */
+template<int (*run)(const std::vector<std::string> &, std::ostream &, std::ostream &)>
+int withArguments(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+{
+    return run({argv + 1, argv + argc}, out, err);
+}
+
 constexpr std::array<CommandRow, 3> commands{{
-    {"check", runCheck, "check DOCUMENT: report every fault of a configuration document with its JSON path"},
-    {"schema", runSchema, "schema: print the JSON Schema of the configuration document"},
+    {"check",
+     withArguments<runCheck>,
+     "check DOCUMENT: report every fault of a configuration document with its JSON path"},
+    {"schema", withArguments<runSchema>, "schema: print the JSON Schema of the configuration document"},
     {"status", runStatus, "status --entry IP:PORT: print what an entry believes (operators' port)"},
 }};
 
