Add the configuration store and the watch policy

Updates carry the patches one by one, each with the digest of its result, so that every step passes the test and the execute pass and staged changes of key owners stay possible for an instance that was away. Ruled out: nlohmann's array diff for tables, which compares by index and rewrites every row behind an inserted one; the operation "copy" in patches from peers, which can double a document with every operation; one (version, digest) pair per announcement, because an instance that holds a rejected version 9 would never hear of version 8 in force. Ruled out: refusing a document of the same version for its key owners, which would leave instances apart for ever.

--- /dev/null
+++ b/src/config_store_func.h
@@ -0,0 +1,405 @@
+#pragma once
+
+#include "config_store.h"
+#include "document_json.h"
+#include "document_patch.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace detail {
+
+/** Printing numbers in full and the updates around a document add to the size of the text that was published. */
+inline constexpr std::size_t maxCanonicalBytes = 2 * maxDocumentBytes;
+inline constexpr std::size_t maxUpdateBytes = 6 * maxDocumentBytes;
+inline constexpr std::size_t maxRejectedRefs = 32;
+
+inline std::string refFields(std::string_view prefix, const DocumentRef &ref)
+{
+    return fmt::format(R"("{0}version":{1},"{0}digest":"{2}")", prefix, ref.version, digestText(ref.digest));
+}
+
+inline std::optional<DocumentRef> parseRef(const nlohmann::json &entry, std::string_view prefix)
+{
+    const auto digest = entry.find(std::string(prefix) + "digest");
+    const auto version = entry.find(std::string(prefix) + "version");
+    if (digest == entry.end() || version == entry.end() || !digest->is_string() || !version->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    const auto bytes = parseDigest(digest->template get_ref<const std::string &>());
+    return bytes ? std::optional(DocumentRef{version->template get<std::uint64_t>(), *bytes}) : std::nullopt;
+}
+
+} // namespace detail
+
+/** A document on its way through the test pass. */
+template<typename Checks>
+struct BasicConfigStore<Checks>::Candidate
+{
+    DocumentRef ref;
+    nlohmann::json json;
+    std::shared_ptr<const std::string> text;
+};
+
+template<typename Checks>
+BasicConfigStore<Checks>::BasicConfigStore(ConfigStoreLimits limits, Parser parser)
+    : m_limits(limits)
+    , m_parser(std::move(parser))
+{
+}
+
+template<typename Checks>
+const DocumentRef &BasicConfigStore<Checks>::newest() const
+{
+    return m_raw ? m_raw->ref : m_inForce.ref;
+}
+
+template<typename Checks>
+DocumentAnnouncement BasicConfigStore<Checks>::announcement() const
+{
+    return {m_inForce.ref, newest()};
+}
+
+template<typename Checks>
+std::shared_ptr<const std::string> BasicConfigStore<Checks>::textOf(const DocumentRef &ref) const
+{
+    if (m_inForce.text && ref == m_inForce.ref) {
+        return m_inForce.text;
+    }
+    return m_raw && ref == m_raw->ref ? m_raw->text : nullptr;
+}
+
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::refuse(std::string reason)
+{
+    ++m_counters.refused;
+    return {ApplyStatus::Refused, std::move(reason)};
+}
+
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::offer(std::string_view text)
+{
+    auto read = readJson(text, maxDocumentBytes);
+    if (!read.value) {
+        return refuse(read.faults.front().path + ": " + read.faults.front().message);
+    }
+    Candidate candidate{{versionOf(*read.value), {}}, std::move(*read.value), nullptr};
+    if (candidate.ref.version == 0) {
+        return refuse("$.version: no valid version");
+    }
+    auto canonical = canonicalText(candidate.json);
+    if (canonical.size() > detail::maxCanonicalBytes) {
+        return refuse("$: too large in canonical form");
+    }
+    candidate.ref.digest = documentDigest(canonical);
+    candidate.text = std::make_shared<const std::string>(std::move(canonical));
+    return testWhole(candidate);
+}
+
+/** Tests a document that came without a patch, and makes one for the peers. */
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::testWhole(const Candidate &candidate)
+{
+    const auto inForce = m_inForce;
+    const auto raw = m_raw;
+    auto outcome = test(candidate);
+    if (outcome.status != ApplyStatus::Unchanged) {
+        // Peers that reject the same documents have the same newest one, all others the same one in force.
+        rememberDiff(inForce, outcome.status == ApplyStatus::KeptRaw ? raw : std::nullopt, candidate);
+    }
+    return outcome;
+}
+
+/** The test pass and, if it succeeds, the execute pass. */
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::test(const Candidate &candidate)
+{
+    if (m_inForce.document && candidate.ref.version == m_inForce.ref.version && candidate.ref != m_inForce.ref) {
+        ++m_counters.conflicts;
+    }
+    if constexpr (Checks::ordering) {
+        // Before the costly parsing: most copies that arrive are in force already.
+        if (auto reason = testOrder(m_inForce, candidate.ref)) {
+            return {ApplyStatus::Unchanged, std::move(*reason)};
+        }
+    }
+    auto parse = m_parser(candidate.json);
+    if (!parse.document) {
+        m_rejected.push_back(candidate.ref);
+        if (m_rejected.size() > detail::maxRejectedRefs) {
+            m_rejected.pop_front();
+        }
+        return reject(candidate, parse.faults.front().path + ": " + parse.faults.front().message);
+    }
+    if (auto reason = testChange(m_inForce, *parse.document)) {
+        return reject(candidate, std::move(*reason));
+    }
+    executeApply(m_inForce, candidate.ref, candidate.text, std::move(*parse.document));
+    ++m_counters.applied;
+    if (m_raw && m_raw->ref <= m_inForce.ref) {
+        m_raw.reset();
+    }
+    return {ApplyStatus::Applied, {}};
+}
+
+/** Keeps at most one rejected document, the newest, for peers that run a version of the program that accepts it. */
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::reject(const Candidate &candidate, std::string reason)
+{
+    if (candidate.ref <= newest()) {
+        return {ApplyStatus::Unchanged, std::move(reason)};
+    }
+    ++m_counters.rejected;
+    m_raw = Raw{candidate.ref, candidate.text};
+    return {ApplyStatus::KeptRaw, std::move(reason)};
+}
+
+template<typename Checks>
+void BasicConfigStore<Checks>::remember(const DocumentRef &from, const DocumentRef &to, std::string patch)
+{
+    m_steps.push_back({from, to, std::move(patch)});
+    std::size_t bytes = 0;
+    for (const auto &it : m_steps) {
+        bytes += it.patch.size();
+    }
+    while (!m_steps.empty() && (m_steps.size() > m_limits.patches || bytes > m_limits.patchBytes)) {
+        bytes -= m_steps.front().patch.size();
+        m_steps.pop_front();
+    }
+}
+
+template<typename Checks>
+void BasicConfigStore<Checks>::rememberDiff(const DocumentInForce &inForce,
+                                            const std::optional<Raw> &raw,
+                                            const Candidate &candidate)
+{
+    const auto &text = raw ? raw->text : inForce.text;
+    if (!text) {
+        return;
+    }
+    auto json = nlohmann::json::parse(*text);
+    const auto patch = diffDocuments(json, candidate.json);
+    auto patchText = patch.dump();
+    // The comparison takes 1 and 1.0 for equal, their texts differ: only a patch that gives the same text is useful.
+    if (patchText.size() < candidate.text->size() / 2 && !patchDocument(json, patch)
+        && canonicalText(json) == *candidate.text) {
+        remember(raw ? raw->ref : inForce.ref, candidate.ref, std::move(patchText));
+    }
+}
+
+template<typename Checks>
+std::optional<DocumentQuery> BasicConfigStore<Checks>::query(const DocumentAnnouncement &peer, Clock::time_point now)
+{
+    const bool isInForceNew
+        = peer.inForce > m_inForce.ref && std::ranges::find(m_rejected, peer.inForce) == m_rejected.end();
+    if (!isInForceNew && peer.newest <= newest()) {
+        return std::nullopt;
+    }
+    const bool isKnownFailure
+        = m_backoff.failures > 0 && m_backoff.peer.inForce == peer.inForce && m_backoff.peer.newest == peer.newest;
+    if (isKnownFailure && now < m_backoff.until) {
+        return std::nullopt;
+    }
+    // A patch that failed may fail again, so the next attempt asks for whole documents.
+    return isKnownFailure && m_backoff.wasRefused ? DocumentQuery{} : DocumentQuery{m_inForce.ref, newest()};
+}
+
+/** Steps that lead from one document to another, or nothing. */
+template<typename Checks>
+std::optional<std::vector<const PatchStep *>> BasicConfigStore<Checks>::chain(const DocumentRef &from,
+                                                                              const DocumentRef &to) const
+{
+    std::vector<const PatchStep *> steps;
+    auto at = to;
+    for (auto it = m_steps.rbegin(); it != m_steps.rend() && at != from; ++it) {
+        if (it->to == at) {
+            steps.push_back(&*it);
+            at = it->from;
+        }
+    }
+    if (at != from) {
+        return std::nullopt;
+    }
+    std::ranges::reverse(steps);
+    return steps;
+}
+
+/** Appends the entries that bring a peer to @p target; returns false if it has no use for them. */
+template<typename Checks>
+bool BasicConfigStore<Checks>::encodeTarget(const DocumentQuery &query,
+                                            const DocumentRef &target,
+                                            std::string &out) const
+{
+    const bool isSeen = target == query.seen;
+    auto steps = chain(isSeen ? query.from : query.seen, target);
+    if (!steps && !isSeen) {
+        steps = chain(query.from, target);
+    }
+    // The peer has rejected this document. Only the documents between can help, if key owners changed in stages.
+    if (isSeen && (!steps || steps->size() < 2)) {
+        return false;
+    }
+    if (!steps) {
+        out += fmt::format(
+            R"({}{{{},"document":{}}})", out.empty() ? "" : ",", detail::refFields("", target), *textOf(target));
+        return true;
+    }
+    for (const auto *it : *steps) {
+        out += fmt::format(R"({}{{{},{},"patch":{}}})",
+                           out.empty() ? "" : ",",
+                           detail::refFields("", it->to),
+                           detail::refFields("from_", it->from),
+                           it->patch);
+    }
+    return !steps->empty();
+}
+
+template<typename Checks>
+std::optional<std::string> BasicConfigStore<Checks>::encodeUpdate(const DocumentQuery &query) const
+{
+    std::string entries;
+    auto base = query;
+    if (m_inForce.ref > query.from && encodeTarget(query, m_inForce.ref, entries)) {
+        base = {m_inForce.ref, std::max(query.seen, m_inForce.ref)};
+    }
+    if (m_raw && m_raw->ref > query.seen) {
+        encodeTarget(base, m_raw->ref, entries);
+    }
+    if (entries.empty()) {
+        return std::nullopt;
+    }
+    return R"({"updates":[)" + entries + "]}";
+}
+
+/** A peer must deliver what it announced, apart from documents that are here already. */
+template<typename Checks>
+std::optional<std::string> BasicConfigStore<Checks>::checkPromise(const nlohmann::json &updates,
+                                                                  const DocumentAnnouncement &peer) const
+{
+    auto best = newest();
+    for (const auto &it : updates) {
+        const auto ref = it.is_object() ? detail::parseRef(it, "") : std::nullopt;
+        if (!ref) {
+            return "an entry has no version and digest";
+        }
+        best = std::max(best, *ref);
+    }
+    const auto promised = std::max(peer.inForce, peer.newest);
+    if (best < promised) {
+        return fmt::format("the peer announced version {} and delivered version {}", promised.version, best.version);
+    }
+    return std::nullopt;
+}
+
+/**
+ * Turns an entry into a candidate. @p candidate holds the document before it, which is the usual base of a patch, so
+ * that a chain of patches reads the base only once.
+ */
+template<typename Checks>
+std::optional<std::string> BasicConfigStore<Checks>::takeEntry(nlohmann::json &entry, Candidate &candidate) const
+{
+    const auto ref = detail::parseRef(entry, "");
+    if (entry.contains("patch")) {
+        const auto from = detail::parseRef(entry, "from_");
+        if (!from) {
+            return "a patch has no base";
+        }
+        if (candidate.ref != *from) {
+            const auto base = textOf(*from);
+            if (!base) {
+                return fmt::format("the patch is for version {}, which is not here", from->version);
+            }
+            candidate.json = nlohmann::json::parse(*base);
+        }
+        if (auto reason = patchDocument(candidate.json, entry["patch"])) {
+            return "the patch does not fit: " + *reason;
+        }
+    } else if (entry.contains("document")) {
+        candidate.json = std::move(entry["document"]);
+    } else {
+        return "an entry has neither patch nor document";
+    }
+    candidate.ref = *ref;
+    candidate.text = std::make_shared<const std::string>(canonicalText(candidate.json));
+    if (candidate.text->size() > detail::maxCanonicalBytes) {
+        return "the document is too large";
+    }
+    if (Checks::digest && documentDigest(*candidate.text) != ref->digest) {
+        return fmt::format("the digest of version {} does not match", ref->version);
+    }
+    if (versionOf(candidate.json) != ref->version) {
+        return fmt::format("the document says version {}, its entry says {}", versionOf(candidate.json), ref->version);
+    }
+    return std::nullopt;
+}
+
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::applyEntries(nlohmann::json &updates)
+{
+    ApplyOutcome result;
+    Candidate candidate;
+    for (auto &it : updates) {
+        if (auto reason = takeEntry(it, candidate)) {
+            return refuse(std::move(*reason));
+        }
+        auto outcome = it.contains("patch") ? test(candidate) : testWhole(candidate);
+        if (it.contains("patch") && outcome.status != ApplyStatus::Unchanged) {
+            remember(*detail::parseRef(it, "from_"), candidate.ref, it["patch"].dump());
+        }
+        if (result.status != ApplyStatus::Applied) {
+            result = std::move(outcome);
+        }
+    }
+    return result;
+}
+
+/** Repeats after 1, 2, 4 ... 16 s, so that a peer that cannot deliver costs little. */
+template<typename Checks>
+void BasicConfigStore<Checks>::noteResult(const DocumentAnnouncement &peer,
+                                          const ApplyOutcome &outcome,
+                                          Clock::time_point now)
+{
+    if (outcome.status == ApplyStatus::Applied || outcome.status == ApplyStatus::KeptRaw) {
+        m_backoff = {};
+        return;
+    }
+    const bool isSame = m_backoff.peer.inForce == peer.inForce && m_backoff.peer.newest == peer.newest;
+    m_backoff.failures = isSame ? std::min(m_backoff.failures + 1, 5) : 1;
+    m_backoff.wasRefused = outcome.status == ApplyStatus::Refused;
+    m_backoff.peer = peer;
+    m_backoff.until = now + std::chrono::seconds(1U << (m_backoff.failures - 1));
+}
+
+template<typename Checks>
+ApplyOutcome BasicConfigStore<Checks>::takeUpdate(std::string_view bytes, const DocumentAnnouncement &peer)
+{
+    if (bytes.empty()) {
+        return {ApplyStatus::Unchanged, "the peer has nothing new"};
+    }
+    auto read = readJson(bytes, detail::maxUpdateBytes);
+    if (!read.value) {
+        return refuse(read.faults.front().path + ": " + read.faults.front().message);
+    }
+    const auto updates = read.value->is_object() ? read.value->find("updates") : read.value->end();
+    if (updates == read.value->end() || !updates->is_array()) {
+        return refuse("$.updates: no list of updates");
+    }
+    if (auto reason = checkPromise(*updates, peer)) {
+        return refuse(std::move(*reason));
+    }
+    return applyEntries(*updates);
+}
+
+template<typename Checks>
+ApplyOutcome
+BasicConfigStore<Checks>::applyUpdate(std::string_view bytes, const DocumentAnnouncement &peer, Clock::time_point now)
+{
+    auto outcome = takeUpdate(bytes, peer);
+    noteResult(peer, outcome, now);
+    return outcome;
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/config_watch.cpp
@@ -0,0 +1,104 @@
+#include "config_watch.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::chrono::milliseconds confirmationMargin{250};
+
+std::uint64_t rankHash(const WatchEntry &entry)
+{
+    const auto text = entry.domain + '\n' + entry.name;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+ConfigWatchPolicy::ConfigWatchPolicy(WatchEntry self, WatchSettings settings, std::uint64_t seed, Clock::time_point now)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_random(seed)
+    , m_confirmed(now - settings.silence)
+    , m_heard(now - settings.silence) // Nothing is known after a start, so the first read is due at once.
+    , m_notBefore(now)
+{
+}
+
+void ConfigWatchPolicy::setFleet(const std::vector<WatchEntry> &live, std::size_t fleetSize)
+{
+    // An instance counts itself even if the instance list does not show it yet.
+    const auto own = rankHash(m_self);
+    const auto before = std::ranges::count_if(live, [&](const auto &it) {
+        return it.domain == m_self.domain && it.name != m_self.name && rankHash(it) < own;
+    });
+    m_isWatcher = static_cast<std::size_t>(before) < m_settings.watchersPerDomain;
+    m_fleetSize = std::max<std::size_t>(fleetSize, 1);
+    // Instances that miss the same confirmation start to read spread over this time.
+    m_silenceJitter = jitter(leastInterval());
+}
+
+/** If every instance reads at this interval, the fleet stays within its share of the budget. */
+ConfigWatchPolicy::Duration ConfigWatchPolicy::leastInterval() const
+{
+    const double seconds = static_cast<double>(m_fleetSize) / (m_settings.readsPerSecond * m_settings.budgetShare);
+    return std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/** A small fleet has to retry more often than a large one to find out soon that the service is back. */
+ConfigWatchPolicy::Duration ConfigWatchPolicy::longestInterval() const
+{
+    const double seconds = static_cast<double>(m_fleetSize) / m_settings.probesPerSecond;
+    const auto wanted = std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
+    return std::max(leastInterval(), std::clamp(wanted, 2 * m_settings.firstRetry, m_settings.longestRetry));
+}
+
+ConfigWatchPolicy::Duration ConfigWatchPolicy::jitter(Duration range)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, range.count())(m_random));
+}
+
+ConfigWatchPolicy::Clock::time_point ConfigWatchPolicy::nextRead() const
+{
+    if (m_isWatcher) {
+        return m_notBefore;
+    }
+    return std::max(m_notBefore, m_heard + m_settings.silence + m_silenceJitter);
+}
+
+void ConfigWatchPolicy::readEnded(Clock::time_point now, ReadResult result)
+{
+    if (result == ReadResult::Confirmed) {
+        m_failures = 0;
+        confirmed(now, Duration(0));
+        m_notBefore = now + (m_isWatcher ? m_settings.watchPause : leastInterval());
+        return;
+    }
+    m_failures = std::min(m_failures + 1, 16);
+    const auto longest = longestInterval();
+    const auto pause
+        = std::clamp(m_settings.firstRetry * (Duration::rep{1} << (m_failures - 1)), leastInterval(), longest);
+    m_notBefore = now + pause + jitter(pause);
+}
+
+void ConfigWatchPolicy::confirmed(Clock::time_point now, Duration age)
+{
+    // Ages do not count the time on the network, so an old confirmation seems a little younger with every hop and
+    // could pass for a new one for ever without the margin. Silence counts from the arrival, because a confirmation
+    // may need longer than that to cross a large fleet.
+    if (now - age > m_confirmed + confirmationMargin) {
+        m_confirmed = now - age;
+        m_heard = now;
+        m_silenceJitter = jitter(leastInterval());
+    }
+}
+
+ConfigWatchPolicy::Duration ConfigWatchPolicy::confirmationAge(Clock::time_point now) const
+{
+    return std::chrono::duration_cast<Duration>(now - m_confirmed);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/document_cmd.cpp
@@ -0,0 +1,53 @@
+#include "document_cmd.h"
+
+#include "document.h"
+
+#include <fmt/format.h>
+
+namespace turmericline {
+
+std::optional<std::string> testOrder(const DocumentInForce &inForce, const DocumentRef &ref)
+{
+    if (ref > inForce.ref) {
+        return std::nullopt;
+    }
+    if (ref == inForce.ref) {
+        return fmt::format("version {} is in force already", ref.version);
+    }
+    return fmt::format(
+        "version {} is below version {} in force, or has the lower digest", ref.version, inForce.ref.version);
+}
+
+std::optional<std::string> testChange(const DocumentInForce &inForce, const Document &document)
+{
+    // Two documents with one version were both made from an earlier one, so the change between them means nothing;
+    // refusing it would leave instances on different documents.
+    if (!inForce.document || document.version == inForce.ref.version) {
+        return std::nullopt;
+    }
+    const auto faults = checkTransition(*inForce.document, document);
+    if (faults.empty()) {
+        return std::nullopt;
+    }
+    return faults.front().path + ": " + faults.front().message;
+}
+
+std::optional<std::string> testApply(const DocumentInForce &inForce, const DocumentRef &ref, const Document &document)
+{
+    if (auto reason = testOrder(inForce, ref)) {
+        return reason;
+    }
+    return testChange(inForce, document);
+}
+
+void executeApply(DocumentInForce &inForce,
+                  const DocumentRef &ref,
+                  std::shared_ptr<const std::string> text,
+                  Document document)
+{
+    inForce.ref = ref;
+    inForce.text = std::move(text);
+    inForce.document = std::make_shared<const Document>(std::move(document));
+}
+
+} // namespace turmericline
