--- a/src/config_store_type.h
+++ b/src/config_store_type.h
@@ -3,6 +3,7 @@
 #include "document_type.h"
 
 #include <array>
+#include <compare>
 #include <memory>
 
 namespace turmericline {
@@ -16,7 +17,14 @@
     std::uint64_t version = 0;
     DocumentDigest digest{};
 
-    friend auto operator<=>(const DocumentRef &, const DocumentRef &) = default;
+    friend bool operator==(const DocumentRef &, const DocumentRef &) = default;
+
+    // Written out because clang-tidy 14 takes the zero in a defaulted one for a null pointer.
+    friend std::strong_ordering operator<=>(const DocumentRef &a, const DocumentRef &b)
+    {
+        const auto order = a.version <=> b.version;
+        return std::is_eq(order) ? a.digest <=> b.digest : order;
+    }
 };
 
 /** What an instance tells its peers. */
--- /dev/null
+++ b/tests/fuzz_property.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <rapidcheck.h>
+#include <rapidcheck/detail/TestListenerAdapter.h>
+#include <rapidcheck/detail/TestParams.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <sstream>
+#include <string>
+
+/** Parameters of a property; FUZZ_SEED and FUZZ_STEPS (commands per case) replace the defaults. */
+inline rc::detail::TestParams fuzzParams(int steps, int cases)
+{
+    const auto fromEnvironment = [](const char *name, std::uint64_t fallback) {
+        const char *text = std::getenv(name);
+        return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+    };
+    rc::detail::TestParams params;
+    params.seed = fromEnvironment("FUZZ_SEED", 20260115);
+    params.maxSize = static_cast<int>(fromEnvironment("FUZZ_STEPS", static_cast<std::uint64_t>(steps)));
+    params.maxSuccess = cases;
+    return params;
+}
+
+/** Runs the property; returns the counterexample with its seed, or an empty text if there is none. */
+template<typename Testable>
+std::string counterexample(const std::string &name, const rc::detail::TestParams &params, Testable &&property)
+{
+    rc::detail::TestMetadata metadata;
+    metadata.id = name;
+    metadata.description = name;
+    // The default listener prints advice for rapidcheck's own variables, which these parameters override.
+    rc::detail::TestListenerAdapter silent;
+    const auto result = rc::detail::checkTestable(std::forward<Testable>(property), metadata, params, silent);
+    if (result.template is<rc::detail::SuccessResult>()) {
+        return {};
+    }
+    std::ostringstream out;
+    out << name << ", FUZZ_SEED=" << params.seed << " FUZZ_STEPS=" << params.maxSize << '\n';
+    rc::detail::printResultMessage(result, out);
+    return out.str();
+}
+
+/** Fails the CppUnit test if the property has a counterexample. */
+template<typename Testable>
+void expectProperty(const std::string &name, const rc::detail::TestParams &params, Testable &&property)
+{
+    const auto text = counterexample(name, params, std::forward<Testable>(property));
+    CPPUNIT_ASSERT_MESSAGE(text, text.empty());
+}
--- /dev/null
+++ b/tests/unit_document_test.cpp
@@ -0,0 +1,196 @@
+#include "document_sample.h"
+#include "document_tool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace turmericline;
+using nlohmann::json;
+
+namespace {
+
+struct FaultCase
+{
+    const char *pointer; ///< JSON pointer of the value that is replaced.
+    json value;
+    const char *path; ///< Where the fault must be reported.
+};
+
+const std::vector<FaultCase> faultCases{
+    {"/zork", 1, "$.zork"},
+    {"/version", 0, "$.version"},
+    {"/version", 1.5, "$.version"},
+    {"/key_lifetime_s", "120", "$.key_lifetime_s"},
+    {"/services/1/name", "confirm", "$.services[1].name"},
+    {"/services/0/kind", "modell", "$.services[0].kind"},
+    {"/services/0/key_owners", json::array(), "$.services[0].key_owners"},
+    {"/services/0/key_owners/0", "nobody", "$.services[0].key_owners[0]"},
+    {"/services/0/key_owners/0", "model-0-0", "$.services[0].key_owners[0]"},
+    {"/services/0/calls/0/path", "/a*b", "$.services[0].calls[0].path"},
+    {"/services/0/model", "m", "$.services[0].model"},
+    {"/backend_servers/2/service", "nothing", "$.backend_servers[2].service"},
+    {"/backend_servers/2/agent", "10.0.0.1", "$.backend_servers[2].agent"},
+    {"/backend_servers/2/agent", "host:80", "$.backend_servers[2].agent"},
+    {"/backend_servers/2/agent", "10.4.1.1:7000", "$.backend_servers[2].agent"},
+    {"/backend_servers/2/name", "a.b", "$.backend_servers[2].name"},
+    {"/backend_servers/2/slots", 0, "$.backend_servers[2].slots"},
+    {"/plans/0/weight", -1, "$.plans[0].weight"},
+    {"/plans/0/services/0", "nothing", "$.plans[0].services[0]"},
+    {"/workspaces/3/plan", "nothing", "$.workspaces[3].plan"},
+    {"/workspaces/3/keys/0", "short", "$.workspaces[3].keys[0]"},
+    {"/workspaces/3/keys/0", "AAAAAAAAAAAAAAAAAAAAAB", "$.workspaces[3].keys[0]"},
+    {"/workspaces/3/keys/0", keyDigest("w00002"), "$.workspaces[3].keys[0]"},
+    {"/placement/hold_from", "24:00", "$.placement.hold_from"},
+    {"/placement/a b", 1, "$.placement[\"a b\"]"},
+};
+
+Document parsed(const json &document)
+{
+    auto parse = parseDocument(document.dump());
+    CPPUNIT_ASSERT_MESSAGE(parse.faults.empty() ? "" : parse.faults[0].path + parse.faults[0].message, parse.document);
+    return std::move(*parse.document);
+}
+
+bool hasFault(const std::vector<DocumentFault> &faults, const std::string &path)
+{
+    return std::ranges::any_of(faults, [&](const auto &it) {
+        return it.path == path;
+    });
+}
+
+} // namespace
+
+/** Guards the rules of the configuration document and the paths that operators see. */
+class DocumentTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DocumentTest);
+    CPPUNIT_TEST(reportsEachFaultAtItsPath);
+    CPPUNIT_TEST(reportsAllFaultsOfADocument);
+    CPPUNIT_TEST(rejectsBadText);
+    CPPUNIT_TEST(keepsKeysOnTheirOwners);
+    CPPUNIT_TEST(findsWorkspacesCallsAndServers);
+    CPPUNIT_TEST(checksFiles);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reportsEachFaultAtItsPath()
+    {
+        for (const auto &it : faultCases) {
+            auto document = sampleDocument(7);
+            document[json::json_pointer(it.pointer)] = it.value;
+            const auto faults = parseDocument(document.dump()).faults;
+            CPPUNIT_ASSERT_MESSAGE(std::string(it.pointer) + " = " + it.value.dump(), hasFault(faults, it.path));
+        }
+    }
+
+    void reportsAllFaultsOfADocument()
+    {
+        auto document = sampleDocument(7);
+        document["zork"] = 1;
+        document["plans"][0]["weight"] = "x";
+        document["plans"][1].erase("name");
+        document["workspaces"][9]["plan"] = 3;
+        const auto faults = parseDocument(document.dump()).faults;
+        for (const auto *path : {"$.zork", "$.plans[0].weight", "$.plans[1].name", "$.workspaces[9].plan"}) {
+            CPPUNIT_ASSERT_MESSAGE(path, hasFault(faults, path));
+        }
+    }
+
+    void rejectsBadText()
+    {
+        CPPUNIT_ASSERT(hasFault(parseDocument(R"({"a":{"b":1,"b":2}})").faults, "$.a.b"));
+        CPPUNIT_ASSERT(hasFault(parseDocument("{\"a\":\"\xff\"}").faults, "$"));
+        CPPUNIT_ASSERT(hasFault(
+            parseDocument(std::string(100000, '[')).faults, "$" + [] {
+                std::string text;
+                for (int i = 0; i < 31; ++i) {
+                    text += "[0]";
+                }
+                return text;
+            }()));
+        const auto text = sampleDocument(7).dump();
+        CPPUNIT_ASSERT(parseDocument(text + std::string(maxDocumentBytes - text.size(), ' ')).document);
+        CPPUNIT_ASSERT(!parseDocument(text + std::string(maxDocumentBytes - text.size() + 1, ' ')).document);
+    }
+
+    void keepsKeysOnTheirOwners()
+    {
+        const auto withOwners = [](const json &owners, const std::string &without = {}) {
+            auto document = sampleDocument(7);
+            document["services"][0]["key_owners"] = owners;
+            auto &servers = document["backend_servers"];
+            servers.erase(std::remove_if(servers.begin(),
+                                         servers.end(),
+                                         [&](const json &it) {
+                                             return it["name"] == without;
+                                         }),
+                          servers.end());
+            return parsed(document);
+        };
+        const auto from = withOwners({"confirm-0", "confirm-1"});
+        const auto isAllowed = [&](const Document &to) {
+            return checkTransition(from, to).empty();
+        };
+        CPPUNIT_ASSERT(isAllowed(from));
+        CPPUNIT_ASSERT(isAllowed(withOwners({"confirm-0", "confirm-1", "confirm-0", "confirm-1"})));
+        CPPUNIT_ASSERT(isAllowed(withOwners({"confirm-2", "confirm-1"}, "confirm-0")));
+        CPPUNIT_ASSERT(!isAllowed(withOwners({"confirm-2", "confirm-1"})));
+        CPPUNIT_ASSERT(!isAllowed(withOwners({"confirm-1"}, "confirm-0")));
+        CPPUNIT_ASSERT(!isAllowed(withOwners({"confirm-0", "confirm-1", "confirm-2"})));
+        CPPUNIT_ASSERT(!isAllowed(withOwners({"confirm-0", "confirm-1", "confirm-2", "confirm-1"})));
+    }
+
+    void findsWorkspacesCallsAndServers()
+    {
+        const auto document = parsed(sampleDocument(7));
+        // First 16 bytes of SHA-256 of "abc" (FIPS 180-2 example) in base64url.
+        CPPUNIT_ASSERT_EQUAL(std::string("ungWv48Bz-pBQUDeXa4iIw"), keyDigest("abc"));
+        const auto found = findWorkspaceByKey(document, keyDigest("w00004"));
+        CPPUNIT_ASSERT_EQUAL(std::string("w00004"), document.workspaces[found].name);
+        CPPUNIT_ASSERT(!findWorkspaceByKey(document, keyDigest("other")).isValid());
+
+        const auto id = document.services.find("confirm");
+        const auto &service = document.services[id];
+        CPPUNIT_ASSERT(findCall(service, "GET", "/status/7?x=1"));
+        CPPUNIT_ASSERT(!findCall(service, "POST", "/status/7"));
+        CPPUNIT_ASSERT(!findCall(service, "GET", "/status/../acks"));
+        CPPUNIT_ASSERT(!findCall(service, "GET", "/status/%2e%2e/acks"));
+        CPPUNIT_ASSERT(findCall(document.services[document.services.find("model-0")], "POST", "/any%20thing"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), serversOf(document, id).size());
+        CPPUNIT_ASSERT_EQUAL(std::string("confirm-0"), document.servers[serversOf(document, id)[0]].name);
+    }
+
+    void checksFiles()
+    {
+        const auto write = [](const std::string &name, const json &document) {
+            std::ofstream(name) << document;
+        };
+        std::string directory = std::filesystem::temp_directory_path() / "documentXXXXXX";
+        CPPUNIT_ASSERT(mkdtemp(directory.data()) != nullptr);
+        const auto stem = directory + "/";
+        write(stem + "1", sampleDocument(7));
+        write(stem + "2", sampleDocument(8));
+        auto broken = sampleDocument(9);
+        broken["plans"][0]["weight"] = "x";
+        write(stem + "3", broken);
+        const auto check = [](const std::vector<std::string> &args, const std::string &expected) {
+            std::ostringstream out;
+            const int code = runCheck(args, out, out);
+            CPPUNIT_ASSERT_MESSAGE(out.str(), out.str().find(expected) != std::string::npos);
+            return code;
+        };
+        CPPUNIT_ASSERT_EQUAL(0, check({stem + "1"}, "version 7, 2 plans, 10 workspaces"));
+        CPPUNIT_ASSERT_EQUAL(0, check({"--previous", stem + "1", stem + "2"}, "version 8"));
+        CPPUNIT_ASSERT_EQUAL(1, check({"--previous", stem + "2", stem + "1"}, "$.version"));
+        CPPUNIT_ASSERT_EQUAL(1, check({stem + "3"}, "$.plans[0].weight"));
+        CPPUNIT_ASSERT_EQUAL(2, check({stem + "4"}, "cannot be read"));
+        std::filesystem::remove_all(directory);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentTest);
