Add the load tool

The measured tables need open-loop load whose latency counts from the scheduled time; a closed loop alone hides queueing, because it sends less when answers are late. Arrivals are counted from the previous scheduled time, so a late wake-up does not lower the rate, and the report shows the send lag. Arrivals and contents use random streams of their own, so both loops send the same requests. Verdicts of streams come from the last verdict event only, because the head is sent before the outcome is known.

--- /dev/null
+++ b/src/load_tool_options.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "load_tool_type.h"
+
+#include <ostream>
+
+namespace turmericline {
+
+/** Reads the flags after argv[0]; appends one line to @p errors for each fault found. */
+LoadOptions parseLoadOptions(int argc, const char *const *argv, std::vector<std::string> &errors);
+void printLoadHelp(std::ostream &out);
+
+} // namespace turmericline
