Declare the limits modules: quota client, quota owner, domain shares

Cause: the entry and agent daemons need the interfaces before the bodies exist. Loans of whole millionths between domains are chosen over shares computed from demand reports, because two owners with different reports could both take the same room. Headers only; nothing is measured yet.

--- /dev/null
+++ b/src/quota_type.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <variant>
+
+namespace turmericline {
+
+/** Time of this process; decision modules never read a clock. */
+using TimePoint = std::chrono::steady_clock::time_point;
+
+using WorkspaceKey = std::uint64_t; ///< Hash of the workspace's name, equal in every process.
+using EntryKey = std::uint64_t; ///< Identifies one incarnation of an entry.
+using DomainIndex = std::uint8_t; ///< Position in the sorted list of failure domains.
+
+/** An amount of both limited resources, or a rate per second of both. */
+struct QuotaAmount
+{
+    double requests = 0;
+    double tokens = 0;
+
+    friend bool operator==(const QuotaAmount &, const QuotaAmount &) = default;
+};
+
+/** An entry asks the owner of a workspace's quota in its failure domain for the next lease. */
+struct LeaseRequest
+{
+    WorkspaceKey workspace = 0;
+    std::uint32_t sequence = 0; ///< Only the answer to the latest request of an entry is used.
+    QuotaAmount demand; ///< Per second, refused requests included.
+    QuotaAmount debt; ///< Spent without a lease or above the estimate, to be paid from the next one.
+};
+
+/** The owner's answer; the amount may be spent within one lease time after the request was sent. */
+struct LeaseGrant
+{
+    WorkspaceKey workspace = 0;
+    std::uint32_t sequence = 0;
+    QuotaAmount amount;
+};
+
+/** Part of a workspace's limit, in millionths, so that loans between domains add up exactly. */
+using ShareUnits = std::uint32_t;
+inline constexpr ShareUnits wholeShare = 1'000'000;
+
+/** A domain's owner tells a lending domain what it holds of the lender's share and what it would like to hold. */
+struct ShareRequest
+{
+    WorkspaceKey workspace = 0;
+    DomainIndex from = 0;
+    EntryKey incarnation = 0;
+    std::uint32_t sequence = 0; ///< Only the answer to the latest request is used.
+    ShareUnits held = 0;
+    ShareUnits wanted = 0;
+};
+
+/** The lender's answer: what the borrower holds from now on; it may be less than it held. */
+struct ShareReply
+{
+    WorkspaceKey workspace = 0;
+    DomainIndex from = 0;
+    EntryKey incarnation = 0; ///< Of the borrower's owner that asked.
+    std::uint32_t sequence = 0;
+    ShareUnits lent = 0;
+};
+
+/** A lender that needs its share back, or has just become owner, asks what the receiver holds. */
+struct ShareProbe
+{
+    WorkspaceKey workspace = 0;
+    DomainIndex from = 0;
+};
+
+/** A message to the quota owner of its workspace in another failure domain. */
+struct ShareMessage
+{
+    DomainIndex to = 0;
+    std::variant<ShareRequest, ShareReply, ShareProbe> body;
+};
+
+/** Decision on one request. */
+struct QuotaDecision
+{
+    bool admitted = false;
+    bool isFallback = false; ///< Decided without a lease because the owner did not answer.
+    std::chrono::milliseconds retryAfter{0}; ///< When a refused caller may come back.
+};
+
+/** How an entry spends; the defaults are those of the design. */
+struct QuotaClientConfig
+{
+    std::chrono::milliseconds lease{1000};
+    std::chrono::milliseconds minimumAskInterval{200}; ///< Between two lease requests for one workspace.
+    std::chrono::seconds idleAfter{60}; ///< Workspaces without requests for this long are forgotten.
+};
+
+struct QuotaOwnerConfig
+{
+    EntryKey incarnation = 0;
+    DomainIndex self = 0;
+    std::uint8_t domains = 1;
+    std::chrono::milliseconds lease{1000}; ///< Also the burst: unspent share is kept for this long at most.
+    std::chrono::seconds idleAfter{60};
+};
+
+} // namespace turmericline
