Implement leases within a domain and loans between domains

Cause: limits per workspace must hold over all entries without a shared store. A borrower's request carries what it holds and replaces all its earlier requests, so the lender's count stays at or above the borrower's under loss, repetition and delay; leases computed from demand reports alone were ruled out because two domains with different reports take the same room. A new owner uses a sixteenth of its home share until the other domains have said what they hold of it.

--- /dev/null
+++ b/src/domain_shares.cpp
@@ -0,0 +1,296 @@
+#include "domain_shares.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace turmericline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A domain always keeps this part of its home share, so that it can serve some requests when it is cut off.
+constexpr ShareUnits floorDivisor = 16;
+// A wish that was not renewed for this long no longer competes with those of other borrowers.
+constexpr auto wishLifetime = 10s;
+constexpr auto askPeriod = 1s;
+// Lenders that could not lend are asked less often, to see whether they can now.
+constexpr auto shortAskPeriod = 5s;
+constexpr auto probePeriod = 1s;
+constexpr auto startProbePeriod = 500ms;
+
+ShareUnits scaled(ShareUnits value, unsigned percent)
+{
+    return static_cast<ShareUnits>(std::uint64_t{value} * percent / 100);
+}
+
+} // namespace
+
+DomainShares::DomainShares(const QuotaOwnerConfig &config, WorkspaceKey workspace, EntryKey ownership, TimePoint now)
+    : m_config(config)
+    , m_workspace(workspace)
+    , m_ownership(ownership)
+    , m_since(now)
+    , m_isSettled(config.domains <= 1)
+    , m_peers(config.domains)
+{
+}
+
+bool DomainShares::isSelf(std::size_t domain) const
+{
+    return domain == m_config.self;
+}
+
+ShareUnits DomainShares::home() const
+{
+    return wholeShare / m_config.domains;
+}
+
+ShareUnits DomainShares::floorShare() const
+{
+    return m_config.domains <= 1 ? home() : home() / floorDivisor;
+}
+
+ShareUnits DomainShares::lentTotal() const
+{
+    return std::accumulate(m_peers.begin(), m_peers.end(), ShareUnits{0}, [](ShareUnits sum, const Peer &it) {
+        return sum + it.lent;
+    });
+}
+
+ShareUnits DomainShares::borrowedTotal() const
+{
+    return std::accumulate(m_peers.begin(), m_peers.end(), ShareUnits{0}, [](ShareUnits sum, const Peer &it) {
+        return sum + it.borrowed;
+    });
+}
+
+ShareUnits DomainShares::share() const
+{
+    // A new owner does not know yet what its predecessor lent, so it uses only the part that is never lent.
+    const ShareUnits own = m_isSettled ? home() - std::min(home(), lentTotal()) : floorShare();
+    return own + borrowedTotal();
+}
+
+ShareUnits DomainShares::reserve() const
+{
+    return std::clamp(scaled(m_demand, 110), floorShare(), home());
+}
+
+bool DomainShares::isAtHome() const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [](const Peer &it) {
+        return it.lent == 0 && it.borrowed == 0 && !it.isReportDue && it.unanswered == 0;
+    });
+}
+
+std::size_t DomainShares::peerBytes()
+{
+    return sizeof(Peer);
+}
+
+ShareUnits DomainShares::wishOf(TimePoint now, const Peer &peer) const
+{
+    return now - peer.heardAt < wishLifetime ? std::max(peer.wish, peer.lent) : peer.lent;
+}
+
+/** Max-min part of @p borrower in what this domain can do without. */
+ShareUnits DomainShares::fairLoan(TimePoint now, DomainIndex borrower) const
+{
+    std::vector<ShareUnits> wishes;
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        if (!isSelf(i) && (i == borrower || wishOf(now, m_peers[i]) > 0)) {
+            wishes.push_back(i == borrower ? m_peers[i].wish : wishOf(now, m_peers[i]));
+        }
+    }
+    std::sort(wishes.begin(), wishes.end());
+    ShareUnits left = home() - reserve();
+    ShareUnits level = 0;
+    for (std::size_t i = 0; i < wishes.size(); ++i) {
+        level = std::min(wishes[i], static_cast<ShareUnits>(left / (wishes.size() - i)));
+        left -= level;
+    }
+    return std::min(m_peers[borrower].wish, level);
+}
+
+/** Whether a message of the borrower @p ownership is the newest; the sequence 0 stands for a probe. */
+bool DomainShares::acceptBorrower(Peer &peer, EntryKey ownership, std::uint32_t sequence) const
+{
+    if (peer.borrower == ownership) {
+        return sequence > peer.heardSequence;
+    }
+    if (std::find(peer.formerBorrowers.begin(), peer.formerBorrowers.end(), ownership) != peer.formerBorrowers.end()) {
+        return false;
+    }
+    peer.formerBorrowers[1] = std::exchange(peer.formerBorrowers[0], peer.borrower);
+    peer.borrower = ownership;
+    return true;
+}
+
+/** Starts to find out what is lent; a workspace without demand here sends no messages. */
+void DomainShares::need(TimePoint now)
+{
+    if (!m_isNeeded) {
+        m_isNeeded = true;
+        m_since = now;
+    }
+}
+
+void DomainShares::updateSettled(TimePoint now)
+{
+    if (m_isSettled || !m_isNeeded) {
+        return;
+    }
+    const auto heard = std::count_if(m_peers.begin(), m_peers.end(), [](const Peer &it) {
+        return it.isHeard;
+    });
+    // A domain that is cut off must not hold this one down for ever; see the bound in limits-and-fairness.md.
+    m_isSettled = heard + 1 >= m_config.domains || now - m_since >= m_config.settleTime;
+}
+
+std::optional<ShareMessage> DomainShares::onRequest(TimePoint now, const ShareRequest &request)
+{
+    if (request.from >= m_peers.size() || isSelf(request.from)) {
+        return std::nullopt;
+    }
+    Peer &peer = m_peers[request.from];
+    if (!acceptBorrower(peer, request.incarnation, request.sequence)) {
+        return std::nullopt;
+    }
+    peer.heardSequence = request.sequence;
+    peer.heardAt = now;
+    peer.isHeard = true;
+    peer.wish = request.wanted;
+    peer.lent = request.held;
+    if (request.wanted > request.held) {
+        need(now);
+    }
+    updateSettled(now);
+    const ShareUnits others = lentTotal() - peer.lent;
+    const ShareUnits room = home() - std::min(home(), reserve() + others);
+    const ShareUnits loan = m_isSettled ? std::min(fairLoan(now, request.from), room) : std::min(request.held, room);
+    // The borrower holds the old amount until it gets this answer and the new one afterwards.
+    peer.lent = std::max(request.held, loan);
+    return ShareMessage{request.from,
+                        ShareReply{m_workspace, m_config.self, request.incarnation, request.sequence, loan}};
+}
+
+void DomainShares::onReply(const ShareReply &reply)
+{
+    if (reply.from >= m_peers.size() || isSelf(reply.from) || reply.incarnation != m_ownership) {
+        return;
+    }
+    Peer &peer = m_peers[reply.from];
+    // Only the answer to the latest request counts: the lender has forgotten the earlier ones.
+    if (peer.unanswered == 0 || reply.sequence != peer.sentSequence) {
+        return;
+    }
+    peer.unanswered = 0;
+    peer.isReportDue = peer.isReportDue || reply.lent < peer.borrowed;
+    peer.isShort = reply.lent < peer.asked;
+    peer.borrowed = reply.lent;
+}
+
+ShareMessage DomainShares::onProbe(TimePoint now, const ShareProbe &probe)
+{
+    Peer &peer = m_peers[probe.from];
+    // A new owner holds nothing yet; its predecessor's loan comes home.
+    if (peer.borrower != probe.incarnation && acceptBorrower(peer, probe.incarnation, 0)) {
+        peer.heardSequence = 0;
+        peer.lent = 0;
+        peer.wish = 0;
+    }
+    return makeRequest(now, probe.from, peer.borrowed);
+}
+
+ShareMessage DomainShares::makeRequest(TimePoint now, DomainIndex to, ShareUnits wanted)
+{
+    Peer &peer = m_peers[to];
+    peer.sentAt = now;
+    peer.isReportDue = false;
+    peer.asked = wanted;
+    peer.unanswered = static_cast<std::uint8_t>(std::min(peer.unanswered + 1, 255));
+    ++peer.sentSequence;
+    return {to, ShareRequest{m_workspace, m_config.self, m_ownership, peer.sentSequence, peer.borrowed, wanted}};
+}
+
+void DomainShares::giveBack(ShareUnits surplus)
+{
+    for (Peer &it : m_peers) {
+        const ShareUnits part = std::min(surplus, it.borrowed);
+        it.borrowed -= part;
+        surplus -= part;
+        it.isReportDue = it.isReportDue || part > 0;
+    }
+}
+
+void DomainShares::ask(TimePoint now, ShareUnits deficit, std::vector<ShareMessage> &out)
+{
+    const auto able = std::count_if(m_peers.begin(),
+                                    m_peers.end(),
+                                    [](const Peer &it) {
+                                        return !it.isShort;
+                                    })
+                      - 1;
+    const auto parts = static_cast<ShareUnits>(able > 0 ? able : m_config.domains - 1);
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        const Peer &peer = m_peers[i];
+        const auto period = peer.isShort || peer.unanswered > 2 ? shortAskPeriod : askPeriod;
+        if (!isSelf(i) && now - peer.sentAt >= period) {
+            out.push_back(makeRequest(now, static_cast<DomainIndex>(i), peer.borrowed + deficit / parts + 1));
+        }
+    }
+}
+
+/** Tells lenders that got no word, or an outdated one, what is held from them. */
+void DomainShares::report(TimePoint now, std::vector<ShareMessage> &out)
+{
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        const Peer &peer = m_peers[i];
+        const auto period = peer.unanswered > 2 ? shortAskPeriod : askPeriod;
+        const bool isLost = peer.unanswered > 0 && now - peer.sentAt >= period;
+        if (!isSelf(i) && (isLost || (peer.isReportDue && peer.unanswered == 0))) {
+            out.push_back(makeRequest(now, static_cast<DomainIndex>(i), peer.borrowed));
+        }
+    }
+}
+
+void DomainShares::probe(TimePoint now, bool isRecall, std::vector<ShareMessage> &out)
+{
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        Peer &peer = m_peers[i];
+        // A domain that was cut off when this owner started may still hold a loan of the former owner.
+        const auto unheardPeriod = m_isSettled ? shortAskPeriod : startProbePeriod;
+        const bool isDue = (m_isNeeded && !peer.isHeard) || (isRecall && peer.lent > 0);
+        if (!isSelf(i) && isDue && now - peer.probedAt >= (peer.isHeard ? probePeriod : unheardPeriod)) {
+            peer.probedAt = now;
+            out.push_back({static_cast<DomainIndex>(i), ShareProbe{m_workspace, m_config.self, m_ownership}});
+        }
+    }
+}
+
+void DomainShares::tick(TimePoint now, ShareUnits demand, std::vector<ShareMessage> &out)
+{
+    m_demand = demand;
+    if (demand > 0) {
+        need(now);
+    }
+    updateSettled(now);
+    const ShareUnits target = scaled(demand, 110);
+    const ShareUnits plenty = scaled(demand, 130);
+    const bool isInNeed = target > share() + home() / 50;
+    probe(now, isInNeed, out);
+    if (!m_isSettled) {
+        return;
+    }
+    if (share() > plenty && borrowedTotal() > 0) {
+        giveBack(std::min(share() - plenty, borrowedTotal()));
+    }
+    if (isInNeed && demand > 0) {
+        ask(now, target - share(), out);
+    }
+    report(now, out);
+}
+
+} // namespace turmericline
--- a/src/domain_shares.h
+++ b/src/domain_shares.h
@@ -2,6 +2,7 @@
 
 #include "quota_type.h"
 
+#include <array>
 #include <optional>
 #include <vector>
 
@@ -18,7 +19,8 @@
 class DomainShares
 {
 public:
-    DomainShares(const QuotaOwnerConfig &config, WorkspaceKey workspace, TimePoint now);
+    /** @p ownership differs for every time that a process becomes owner of the workspace. */
+    DomainShares(const QuotaOwnerConfig &config, WorkspaceKey workspace, EntryKey ownership, TimePoint now);
 
     /** Share that this domain may use now. */
     ShareUnits share() const;
@@ -27,43 +29,58 @@
     /** Adds the messages that are due; @p demand is the domain's demand as a part of the limit, in units. */
     void tick(TimePoint now, ShareUnits demand, std::vector<ShareMessage> &out);
 
+    /** Answers a borrower; a request that is late or from a former owner gets no answer. */
     std::optional<ShareMessage> onRequest(TimePoint now, const ShareRequest &request);
-    void onReply(TimePoint now, const ShareReply &reply);
-    ShareMessage onProbe(const ShareProbe &probe);
+    void onReply(const ShareReply &reply);
+    ShareMessage onProbe(TimePoint now, const ShareProbe &probe);
 
     /** Whether nothing is lent or borrowed, so that the state may be dropped. */
     bool isAtHome() const;
+    static std::size_t peerBytes();
 
 private:
     struct Peer
     {
         ShareUnits borrowed = 0; ///< Held from this domain.
         ShareUnits lent = 0; ///< Most that this domain's owner can hold from here.
-        ShareUnits lentTarget = 0; ///< Last answer to it.
-        ShareUnits wanted = 0; ///< Its last wish.
+        ShareUnits wish = 0; ///< What it last wanted to hold from here.
+        ShareUnits asked = 0; ///< What this domain last wanted to hold from it.
         std::uint32_t sentSequence = 0;
         std::uint32_t heardSequence = 0;
-        EntryKey heardIncarnation = 0;
-        TimePoint lastSent{};
-        bool isAwaitingReply = false;
+        EntryKey borrower = 0; ///< Ownership of the last request that was heard.
+        std::array<EntryKey, 2> formerBorrowers{};
+        TimePoint heardAt{};
+        TimePoint sentAt{};
+        TimePoint probedAt{};
+        std::uint8_t unanswered = 0; ///< Requests sent since the last answer.
         bool isShort = false; ///< Lent less than was asked for the last time.
+        bool isReportDue = false; ///< Holds less than the lender was last told.
         bool isHeard = false; ///< Has told what it holds since this owner started.
     };
 
-    ShareMessage makeRequest(DomainIndex to);
-    ShareUnits targetFor(DomainIndex borrower) const;
-    void giveBack(ShareUnits surplus);
+    bool isSelf(std::size_t domain) const;
+    ShareUnits reserve() const;
+    ShareUnits floorShare() const;
     ShareUnits lentTotal() const;
     ShareUnits borrowedTotal() const;
-    ShareUnits lentCap(TimePoint now) const;
+    ShareUnits wishOf(TimePoint now, const Peer &peer) const;
+    ShareUnits fairLoan(TimePoint now, DomainIndex borrower) const;
+    bool acceptBorrower(Peer &peer, EntryKey ownership, std::uint32_t sequence) const;
+    void need(TimePoint now);
+    void updateSettled(TimePoint now);
+    ShareMessage makeRequest(TimePoint now, DomainIndex to, ShareUnits wanted);
+    void giveBack(ShareUnits surplus);
     void ask(TimePoint now, ShareUnits deficit, std::vector<ShareMessage> &out);
-    void probe(TimePoint now, std::vector<ShareMessage> &out);
+    void report(TimePoint now, std::vector<ShareMessage> &out);
+    void probe(TimePoint now, bool isRecall, std::vector<ShareMessage> &out);
 
     QuotaOwnerConfig m_config;
     WorkspaceKey m_workspace;
-    TimePoint m_since;
-    TimePoint m_now;
+    EntryKey m_ownership;
+    TimePoint m_since; ///< Since when it has been finding out what is lent.
     ShareUnits m_demand = 0;
+    bool m_isSettled = false;
+    bool m_isNeeded = false; ///< Has demand or was asked for a loan, so it must find out what is lent.
     std::vector<Peer> m_peers;
 };
 
--- /dev/null
+++ b/src/quota.cpp
@@ -0,0 +1,450 @@
+#include "quota.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto demandWindow = 500ms;
+// Entries that have not asked for this long no longer take part in the division.
+constexpr auto clientLifetime = 2500ms;
+constexpr auto sweepPeriod = 10s;
+// The next lease is asked for when this part of a lease has passed or of its requests is left.
+constexpr double renewalAge = 0.7;
+constexpr double renewalRest = 0.25;
+// A lease is this much larger than the demand while the owner has more than half of its burst left.
+constexpr double slack = 0.25;
+
+double seconds(TimePoint::duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+QuotaAmount operator*(const QuotaAmount &a, double factor)
+{
+    return {a.requests * factor, a.tokens * factor};
+}
+
+/** Max-min part of one participant that wants @p wanted, with an even part of what nobody wants. */
+double maxMin(std::vector<double> demands, double total, double wanted)
+{
+    std::sort(demands.begin(), demands.end());
+    double left = total;
+    double level = 0;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        level = std::min(demands[i], left / static_cast<double>(demands.size() - i));
+        left -= level;
+    }
+    return std::min(wanted, level) + left / static_cast<double>(std::max<std::size_t>(demands.size(), 1));
+}
+
+/** Takes up to @p base within the fair credit, and slack only from a level that is more than half full. */
+double take(double &level, double &credit, double base, double extra, double capacity)
+{
+    const double fair = std::max(0.0, std::min({base, credit, level}));
+    const double surplus = std::clamp(level - fair - capacity / 2, 0.0, extra + base - fair);
+    return fair + surplus;
+}
+
+} // namespace
+
+WorkspaceKey workspaceKey(std::string_view name)
+{
+    return XXH64(name.data(), name.size(), 0);
+}
+
+std::optional<EntryKey> quotaOwner(WorkspaceKey workspace, std::span<const EntryKey> liveEntries)
+{
+    std::optional<EntryKey> best;
+    std::uint64_t bestScore = 0;
+    for (const EntryKey it : liveEntries) {
+        const std::uint64_t score = XXH64(&it, sizeof it, workspace);
+        if (!best || score > bestScore || (score == bestScore && it > *best)) {
+            best = it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+QuotaClient::QuotaClient(QuotaClientConfig config)
+    : m_config(config)
+{
+}
+
+QuotaClient::Row &QuotaClient::rowOf(TimePoint now, WorkspaceKey workspace)
+{
+    const auto [it, isNew] = m_rows.try_emplace(workspace);
+    Row &row = it->second;
+    if (isNew) {
+        row.demandSince = row.refilled = now;
+    }
+    if (!row.isQueued) {
+        row.isQueued = true;
+        m_active.push_back(workspace);
+    }
+    return row;
+}
+
+/** Between leases the entry earns its even part of the limit, which pays its debt first. */
+void QuotaClient::refill(TimePoint now, Row &row, const QuotaAmount &evenPart) const
+{
+    const double elapsed = std::max(0.0, seconds(now - std::max(row.refilled, row.leaseEnd)));
+    const double burst = seconds(m_config.lease);
+    row.refilled = now;
+    row.balance.requests
+        = std::min(row.balance.requests + evenPart.requests * elapsed, std::max(0.0, evenPart.requests * burst));
+    row.balance.tokens = std::min(row.balance.tokens + evenPart.tokens * elapsed, evenPart.tokens * burst);
+}
+
+void QuotaClient::expireLease(TimePoint now, Row &row) const
+{
+    if (now >= row.leaseEnd && row.refilled < row.leaseEnd) {
+        row.balance.requests = std::min(row.balance.requests, 0.0);
+        row.balance.tokens = std::min(row.balance.tokens, 0.0);
+        row.refilled = row.leaseEnd;
+    }
+}
+
+void QuotaClient::countArrival(TimePoint now, Row &row, double tokens) const
+{
+    const auto elapsed = now - row.demandSince;
+    if (elapsed >= demandWindow) {
+        const double rate = 1 / seconds(elapsed);
+        // A rise counts at once, a fall by half per window, so that a short gap does not shrink the lease.
+        const auto smooth = [rate](double old, double arrived) {
+            return std::max(arrived * rate, (old + arrived * rate) / 2);
+        };
+        row.demand = {smooth(row.demand.requests, row.arrived.requests), smooth(row.demand.tokens, row.arrived.tokens)};
+        row.arrived = {};
+        row.demandSince = now;
+    }
+    row.arrived.requests += 1;
+    row.arrived.tokens += tokens;
+    row.lastRequest = now;
+}
+
+bool QuotaClient::canWait(TimePoint now, const Row &row) const
+{
+    if (row.isShort || (row.isAwaitingGrant && row.isRepeatedAsk)) {
+        return false;
+    }
+    return !row.isAwaitingGrant || now - row.lastAsk < m_config.longestWait;
+}
+
+std::chrono::milliseconds QuotaClient::retryAfter(const Row &row) const
+{
+    // With demand d and leases of g per second, a caller's turn comes after about d / g seconds.
+    const double turns = (row.demand.requests + 1) / std::max(0.1, static_cast<double>(row.grantedRequests));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::clamp(turns, 0.2, 10.0) * 1000));
+}
+
+QuotaDecision QuotaClient::spend(
+    TimePoint now, WorkspaceKey workspace, const QuotaAmount &evenPart, double tokens, SpendAttempt attempt)
+{
+    Row &row = rowOf(now, workspace);
+    if (attempt == SpendAttempt::First) {
+        countArrival(now, row, tokens);
+    }
+    expireLease(now, row);
+    const bool hasLease = now < row.leaseEnd;
+    if (!hasLease) {
+        refill(now, row, evenPart);
+    }
+    // One request may overdraw: an idle entry need not wait for its first lease, and a large request not for a large one.
+    const bool canPay = hasLease ? row.balance.requests >= 1 && row.balance.tokens > 0
+                                 : row.balance.requests >= 0 && row.balance.tokens >= 0;
+    const bool mayWait = attempt == SpendAttempt::First && canWait(now, row);
+    if (canPay && (hasLease || m_config.allowsOverdraft || !mayWait)) {
+        row.balance.requests -= 1;
+        row.balance.tokens -= tokens;
+        return {QuotaVerdict::Admit, !hasLease, {}};
+    }
+    if (mayWait) {
+        return {QuotaVerdict::Wait, !hasLease, m_config.longestWait};
+    }
+    return {QuotaVerdict::Refuse, !hasLease, retryAfter(row)};
+}
+
+void QuotaClient::correct(TimePoint now, WorkspaceKey workspace, double estimated, double used)
+{
+    Row &row = rowOf(now, workspace);
+    expireLease(now, row);
+    row.balance.tokens += estimated - used;
+}
+
+void QuotaClient::refund(TimePoint now, WorkspaceKey workspace, double tokens)
+{
+    Row &row = rowOf(now, workspace);
+    expireLease(now, row);
+    row.balance.tokens += tokens;
+    row.balance.requests += 1;
+}
+
+bool QuotaClient::isAskDue(TimePoint now, const Row &row) const
+{
+    const bool isDemanded = row.lastRequest > row.leaseStart;
+    const bool isInDebt = row.balance.requests < 0 || row.balance.tokens < 0;
+    if (!isDemanded && !isInDebt) {
+        return false;
+    }
+    if (now - row.lastAsk < (row.isShort || row.isRepeatedAsk ? m_config.shortAskInterval : m_config.askInterval)) {
+        return false;
+    }
+    const bool isOld = now - row.leaseStart >= m_config.lease * renewalAge;
+    return isOld || row.balance.requests < std::max(1.0, row.grantedRequests * renewalRest) || row.balance.tokens <= 0;
+}
+
+std::vector<LeaseRequest> QuotaClient::takeRequests(TimePoint now)
+{
+    std::vector<LeaseRequest> due;
+    std::erase_if(m_active, [&](WorkspaceKey key) {
+        Row &row = m_rows.at(key);
+        expireLease(now, row);
+        if (isAskDue(now, row)) {
+            row.isRepeatedAsk = row.isAwaitingGrant;
+            row.isAwaitingGrant = true;
+            row.lastAsk = now;
+            const double span = std::max(1.0, seconds(now - row.demandSince));
+            const QuotaAmount demand{std::max(row.demand.requests, row.arrived.requests / span),
+                                     std::max(row.demand.tokens, row.arrived.tokens / span)};
+            due.push_back({key,
+                           ++row.sequence,
+                           demand,
+                           {std::max(0.0, -row.balance.requests), std::max(0.0, -row.balance.tokens)}});
+        }
+        const bool isIdle = now >= row.leaseEnd && now - row.lastRequest > m_config.lease * 2;
+        const bool isOwing = row.balance.requests < 0 || row.balance.tokens < 0;
+        row.isQueued = !isIdle || isOwing;
+        return !row.isQueued;
+    });
+    sweep(now);
+    return due;
+}
+
+void QuotaClient::sweep(TimePoint now)
+{
+    if (now - m_swept < sweepPeriod) {
+        return;
+    }
+    m_swept = now;
+    std::erase_if(m_rows, [&](const auto &it) {
+        return !it.second.isQueued && now - it.second.lastRequest > m_config.idleAfter;
+    });
+}
+
+void QuotaClient::onGrant(TimePoint now, const LeaseGrant &grant)
+{
+    const auto it = m_rows.find(grant.workspace);
+    if (it == m_rows.end() || !it->second.isAwaitingGrant || it->second.sequence != grant.sequence) {
+        return;
+    }
+    Row &row = it->second;
+    expireLease(now, row);
+    row.isAwaitingGrant = row.isRepeatedAsk = false;
+    if (now >= row.lastAsk + m_config.lease) {
+        return; // It took longer than the lease is valid.
+    }
+    // What is left of the old lease lapses, so everything is spent within one lease time after it was granted.
+    row.balance = {std::min(row.balance.requests, 0.0) + grant.amount.requests,
+                   std::min(row.balance.tokens, 0.0) + grant.amount.tokens};
+    row.leaseStart = row.lastAsk;
+    row.leaseEnd = row.lastAsk + m_config.lease;
+    row.refilled = row.lastAsk;
+    row.grantedRequests = static_cast<float>(grant.amount.requests);
+    row.isShort = row.balance.requests < row.demand.requests * seconds(m_config.lease) || row.balance.tokens <= 0;
+}
+
+std::size_t QuotaClient::size() const
+{
+    return m_rows.size();
+}
+
+std::size_t QuotaClient::rowBytes()
+{
+    return sizeof(std::pair<const WorkspaceKey, Row>) + sizeof(WorkspaceKey);
+}
+
+QuotaOwner::QuotaOwner(QuotaOwnerConfig config)
+    : m_config(config)
+{
+}
+
+QuotaOwner::Row &QuotaOwner::rowOf(TimePoint now, WorkspaceKey workspace)
+{
+    const auto it = m_rows.find(workspace);
+    if (it != m_rows.end()) {
+        return it->second;
+    }
+    const EntryKey ownership = m_config.incarnation + ++m_ownerships;
+    Row row{{}, {}, now, now, {}, DomainShares(m_config, workspace, ownership, now)};
+    return m_rows.emplace(workspace, std::move(row)).first->second;
+}
+
+QuotaAmount QuotaOwner::rate(const Row &row) const
+{
+    return row.limit * (static_cast<double>(row.shares.share()) / wholeShare);
+}
+
+void QuotaOwner::refill(TimePoint now, Row &row) const
+{
+    const double elapsed = seconds(now - row.refilled);
+    const double lease = seconds(m_config.lease);
+    const QuotaAmount perSecond = rate(row);
+    row.refilled = now;
+    // Limits below one request per lease time must be able to save up for a whole request.
+    row.level.requests
+        = std::min(row.level.requests + perSecond.requests * elapsed, std::max(1.0, perSecond.requests * lease));
+    row.level.tokens = std::min(row.level.tokens + perSecond.tokens * elapsed, perSecond.tokens * lease);
+}
+
+QuotaOwner::Client &QuotaOwner::clientOf(TimePoint now, Row &row, EntryKey entry) const
+{
+    std::erase_if(row.clients, [&](const Client &it) {
+        return it.entry != entry && now - it.lastAsk > clientLifetime;
+    });
+    const auto it = std::find_if(row.clients.begin(), row.clients.end(), [&](const Client &c) {
+        return c.entry == entry;
+    });
+    return it != row.clients.end() ? *it : row.clients.emplace_back(Client{entry, {}, {}, now - m_config.lease});
+}
+
+QuotaAmount QuotaOwner::grantFor(TimePoint now, Row &row, Client &client, const LeaseRequest &request) const
+{
+    const double lease = seconds(m_config.lease);
+    const double elapsed = std::min(seconds(now - client.lastAsk), lease);
+    const QuotaAmount perSecond = rate(row);
+    const QuotaAmount need{request.demand.requests * lease + request.debt.requests,
+                           request.demand.tokens * lease + request.debt.tokens};
+    client.demand = {need.requests / lease, need.tokens / lease};
+    client.lastAsk = now;
+    std::vector<double> requests;
+    std::vector<double> tokens;
+    for (const Client &it : row.clients) {
+        requests.push_back(it.demand.requests);
+        tokens.push_back(it.demand.tokens);
+    }
+    const QuotaAmount fair{maxMin(std::move(requests), perSecond.requests, client.demand.requests),
+                           maxMin(std::move(tokens), perSecond.tokens, client.demand.tokens)};
+    client.credit.requests
+        = std::min(client.credit.requests + fair.requests * elapsed, std::max(1.0, fair.requests * lease));
+    client.credit.tokens = std::min(client.credit.tokens + fair.tokens * elapsed, fair.tokens * lease);
+    const double capacity = std::max(1.0, perSecond.requests * lease);
+    QuotaAmount grant{
+        take(row.level.requests, client.credit.requests, need.requests, need.requests * slack + 1, capacity),
+        take(row.level.tokens, client.credit.tokens, need.tokens, need.tokens * slack, perSecond.tokens * lease)};
+    // A part of a request cannot be spent; it stays with the owner.
+    grant.requests = std::floor(grant.requests + 1e-9);
+    client.credit.requests = std::max(0.0, client.credit.requests - grant.requests);
+    client.credit.tokens = std::max(0.0, client.credit.tokens - grant.tokens);
+    row.level.requests -= grant.requests;
+    row.level.tokens -= grant.tokens;
+    return grant;
+}
+
+LeaseGrant
+QuotaOwner::onLeaseRequest(TimePoint now, EntryKey entry, const LeaseRequest &request, const QuotaAmount &limit)
+{
+    Row &row = rowOf(now, request.workspace);
+    refill(now, row);
+    row.limit = limit;
+    row.lastAsk = now;
+    Client &client = clientOf(now, row, entry);
+    return {request.workspace, request.sequence, grantFor(now, row, client, request)};
+}
+
+ShareUnits QuotaOwner::demandUnits(TimePoint now, const Row &row) const
+{
+    QuotaAmount sum;
+    for (const Client &it : row.clients) {
+        if (now - it.lastAsk <= clientLifetime) {
+            sum.requests += it.demand.requests;
+            sum.tokens += it.demand.tokens;
+        }
+    }
+    const double requests = row.limit.requests > 0 ? sum.requests / row.limit.requests : 0;
+    const double tokens = row.limit.tokens > 0 ? sum.tokens / row.limit.tokens : 0;
+    return static_cast<ShareUnits>(std::min(1.0, std::max(requests, tokens)) * wholeShare);
+}
+
+std::vector<ShareMessage> QuotaOwner::tick(TimePoint now)
+{
+    std::vector<ShareMessage> out;
+    for (auto &[key, row] : m_rows) {
+        refill(now, row);
+        row.shares.tick(now, demandUnits(now, row), out);
+    }
+    sweep(now);
+    return out;
+}
+
+void QuotaOwner::sweep(TimePoint now)
+{
+    if (now - m_swept < sweepPeriod) {
+        return;
+    }
+    m_swept = now;
+    std::erase_if(m_rows, [&](const auto &it) {
+        return now - it.second.lastAsk > m_config.idleAfter && it.second.shares.isAtHome();
+    });
+}
+
+std::optional<ShareMessage> QuotaOwner::onShareRequest(TimePoint now, const ShareRequest &request)
+{
+    Row &row = rowOf(now, request.workspace);
+    refill(now, row);
+    return row.shares.onRequest(now, request);
+}
+
+void QuotaOwner::onShareReply(TimePoint now, const ShareReply &reply)
+{
+    const auto it = m_rows.find(reply.workspace);
+    if (it != m_rows.end()) {
+        refill(now, it->second);
+        it->second.shares.onReply(reply);
+    }
+}
+
+std::optional<ShareMessage> QuotaOwner::onShareProbe(TimePoint now, const ShareProbe &probe)
+{
+    if (probe.from >= m_config.domains || probe.from == m_config.self) {
+        return std::nullopt;
+    }
+    Row &row = rowOf(now, probe.workspace);
+    refill(now, row);
+    return row.shares.onProbe(now, probe);
+}
+
+ShareUnits QuotaOwner::share(WorkspaceKey workspace) const
+{
+    const auto it = m_rows.find(workspace);
+    return it == m_rows.end() ? wholeShare / m_config.domains : it->second.shares.share();
+}
+
+void QuotaOwner::release(WorkspaceKey workspace)
+{
+    m_rows.erase(workspace);
+}
+
+std::size_t QuotaOwner::size() const
+{
+    return m_rows.size();
+}
+
+std::size_t QuotaOwner::rowBytes()
+{
+    return sizeof(std::pair<const WorkspaceKey, Row>);
+}
+
+std::size_t QuotaOwner::clientBytes()
+{
+    return sizeof(Client);
+}
+
+} // namespace turmericline
--- a/src/quota.h
+++ b/src/quota.h
@@ -3,7 +3,6 @@
 #include "domain_shares.h"
 #include "quota_type.h"
 
-#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -28,13 +27,17 @@
     explicit QuotaClient(QuotaClientConfig config = {});
 
     /**
-     * Decides on one request that is expected to use @p tokens. @p evenPart is limit / entries in the domain / domains;
+     * Decides on one request that is expected to use @p tokens and charges it if it is admitted. @p evenPart is limit / entries in the domain / domains;
      * count the entries of the instance list, not only the live ones, or a partition inflates it.
      */
-    QuotaDecision spend(TimePoint now, WorkspaceKey workspace, const QuotaAmount &evenPart, double tokens);
+    QuotaDecision spend(TimePoint now,
+                        WorkspaceKey workspace,
+                        const QuotaAmount &evenPart,
+                        double tokens,
+                        SpendAttempt attempt = SpendAttempt::First);
     /** Corrects the charge of an admitted request once the tokens that it used are known. */
     void correct(TimePoint now, WorkspaceKey workspace, double estimated, double used);
-    /** Gives back the charge of an admitted request that was not run. */
+    /** Gives back the whole charge of an admitted request that was not run. */
     void refund(TimePoint now, WorkspaceKey workspace, double tokens);
 
     /** Lease requests that are due; call after spend() and every 50 ms. */
@@ -51,27 +54,32 @@
         QuotaAmount balance; ///< Negative: debt.
         QuotaAmount demand; ///< Smoothed, per second.
         QuotaAmount arrived; ///< Since demandSince.
-        QuotaAmount granted; ///< Amount of the last lease.
         TimePoint demandSince{};
         TimePoint lastRequest{};
+        TimePoint leaseStart{}; ///< When the lease in use was asked for.
         TimePoint leaseEnd{};
         TimePoint lastAsk{};
         TimePoint refilled{};
+        float grantedRequests = 0;
         std::uint32_t sequence = 0;
         bool isAwaitingGrant = false;
-        bool isQueued = false;
+        bool isRepeatedAsk = false; ///< The last ask before this one was not answered.
+        bool isShort = false; ///< The last lease was smaller than the demand.
+        bool isQueued = false; ///< Is in m_active.
     };
 
     Row &rowOf(TimePoint now, WorkspaceKey workspace);
-    void settle(TimePoint now, Row &row, const QuotaAmount &evenPart) const;
-    void updateDemand(TimePoint now, Row &row) const;
+    void refill(TimePoint now, Row &row, const QuotaAmount &evenPart) const;
+    void expireLease(TimePoint now, Row &row) const;
+    void countArrival(TimePoint now, Row &row, double tokens) const;
     bool isAskDue(TimePoint now, const Row &row) const;
-    LeaseRequest makeRequest(TimePoint now, WorkspaceKey workspace, Row &row) const;
-    void queue(WorkspaceKey workspace, Row &row);
+    bool canWait(TimePoint now, const Row &row) const;
+    std::chrono::milliseconds retryAfter(const Row &row) const;
+    void sweep(TimePoint now);
 
     QuotaClientConfig m_config;
     std::unordered_map<WorkspaceKey, Row> m_rows;
-    std::vector<WorkspaceKey> m_active; ///< Workspaces that may need a lease request.
+    std::vector<WorkspaceKey> m_active; ///< Workspaces that had requests since their last lease was asked for.
     TimePoint m_swept{};
 };
 
@@ -86,7 +94,7 @@
 
     std::optional<ShareMessage> onShareRequest(TimePoint now, const ShareRequest &request);
     void onShareReply(TimePoint now, const ShareReply &reply);
-    ShareMessage onShareProbe(TimePoint now, const ShareProbe &probe);
+    std::optional<ShareMessage> onShareProbe(TimePoint now, const ShareProbe &probe);
     /** Messages to the owners in other domains that are due; call every 100 ms to 1 s. */
     std::vector<ShareMessage> tick(TimePoint now);
 
@@ -103,7 +111,7 @@
     {
         EntryKey entry = 0;
         QuotaAmount demand;
-        QuotaAmount credit; ///< Its fair part since its last grant.
+        QuotaAmount credit; ///< Its fair part that was not granted yet.
         TimePoint lastAsk{};
     };
 
@@ -114,18 +122,21 @@
         TimePoint refilled{};
         TimePoint lastAsk{};
         std::vector<Client> clients;
-        std::unique_ptr<DomainShares> shares; ///< Only while the home share is not enough or is lent.
+        DomainShares shares;
     };
 
     Row &rowOf(TimePoint now, WorkspaceKey workspace);
-    DomainShares &sharesOf(TimePoint now, WorkspaceKey workspace, Row &row);
     QuotaAmount rate(const Row &row) const;
     void refill(TimePoint now, Row &row) const;
     Client &clientOf(TimePoint now, Row &row, EntryKey entry) const;
+    QuotaAmount grantFor(TimePoint now, Row &row, Client &client, const LeaseRequest &request) const;
     ShareUnits demandUnits(TimePoint now, const Row &row) const;
+    void sweep(TimePoint now);
 
     QuotaOwnerConfig m_config;
     std::unordered_map<WorkspaceKey, Row> m_rows;
+    EntryKey m_ownerships = 0; ///< Counts the rows made, so that each has its own identity for other domains.
+    TimePoint m_swept{};
 };
 
 } // namespace turmericline
--- a/src/quota_type.h
+++ b/src/quota_type.h
@@ -69,6 +69,7 @@
 {
     WorkspaceKey workspace = 0;
     DomainIndex from = 0;
+    EntryKey incarnation = 0;
 };
 
 /** A message to the quota owner of its workspace in another failure domain. */
@@ -78,19 +79,35 @@
     std::variant<ShareRequest, ShareReply, ShareProbe> body;
 };
 
+enum class QuotaVerdict {
+    Admit,
+    Wait, ///< A lease request is under way: hold the request and decide again on the grant or after @c wait.
+    Refuse,
+};
+
 /** Decision on one request. */
 struct QuotaDecision
 {
-    bool admitted = false;
-    bool isFallback = false; ///< Decided without a lease because the owner did not answer.
-    std::chrono::milliseconds retryAfter{0}; ///< When a refused caller may come back.
+    QuotaVerdict verdict = QuotaVerdict::Refuse;
+    bool isFallback = false; ///< Decided without a lease.
+    std::chrono::milliseconds wait{0}; ///< Longest time to hold the request, or when a refused caller may come back.
+};
+
+/** Whether a request is decided on for the first time or after QuotaVerdict::Wait, which happens once. */
+enum class SpendAttempt {
+    First,
+    Again,
 };
 
 /** How an entry spends; the defaults are those of the design. */
 struct QuotaClientConfig
 {
     std::chrono::milliseconds lease{1000};
-    std::chrono::milliseconds minimumAskInterval{200}; ///< Between two lease requests for one workspace.
+    std::chrono::milliseconds askInterval{50}; ///< Shortest time between two lease requests for one workspace.
+    std::chrono::milliseconds shortAskInterval{200}; ///< The same after a lease that was smaller than the demand.
+    std::chrono::milliseconds longestWait{100}; ///< For a grant, before the request is decided on without it.
+    /** An entry without a lease lets one request pass at once and owes it; otherwise the request waits for the lease. */
+    bool allowsOverdraft = true;
     std::chrono::seconds idleAfter{60}; ///< Workspaces without requests for this long are forgotten.
 };
 
@@ -100,7 +117,8 @@
     DomainIndex self = 0;
     std::uint8_t domains = 1;
     std::chrono::milliseconds lease{1000}; ///< Also the burst: unspent share is kept for this long at most.
-    std::chrono::seconds idleAfter{60};
+    std::chrono::milliseconds settleTime{2000}; ///< How long a new owner waits to hear what its domain has lent.
+    std::chrono::seconds idleAfter{600};
 };
 
 } // namespace turmericline
