--- a/src/domain_shares.cpp
+++ b/src/domain_shares.cpp
@@ -1,8 +1,8 @@
 #include "domain_shares.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
-#include <utility>
 
 namespace turmericline {
 
@@ -17,6 +17,9 @@
 constexpr auto askPeriod = 1s;
 // Lenders that could not lend are asked less often, to see whether they can now.
 constexpr auto shortAskPeriod = 5s;
+// Holders of a loan are heard this often, so that the loan of a former owner can be told from one in use.
+constexpr auto renewPeriod = 5s;
+constexpr auto loanLifetime = 12s;
 constexpr auto probePeriod = 1s;
 constexpr auto startProbePeriod = 500ms;
 
@@ -55,7 +58,7 @@
 ShareUnits DomainShares::lentTotal() const
 {
     return std::accumulate(m_peers.begin(), m_peers.end(), ShareUnits{0}, [](ShareUnits sum, const Peer &it) {
-        return sum + it.lent;
+        return sum + it.lent();
     });
 }
 
@@ -81,7 +84,7 @@
 bool DomainShares::isAtHome() const
 {
     return std::all_of(m_peers.begin(), m_peers.end(), [](const Peer &it) {
-        return it.lent == 0 && it.borrowed == 0 && !it.isReportDue && it.unanswered == 0;
+        return it.lent() == 0 && it.borrowed == 0 && !it.isReportDue && it.unanswered == 0;
     });
 }
 
@@ -92,7 +95,7 @@
 
 ShareUnits DomainShares::wishOf(TimePoint now, const Peer &peer) const
 {
-    return now - peer.heardAt < wishLifetime ? std::max(peer.wish, peer.lent) : peer.lent;
+    return now - peer.loans[0].heardAt < wishLifetime ? std::max(peer.wish, peer.lent()) : peer.lent();
 }
 
 /** Max-min part of @p borrower in what this domain can do without. */
@@ -114,18 +117,33 @@
     return std::min(m_peers[borrower].wish, level);
 }
 
-/** Whether a message of the borrower @p ownership is the newest; the sequence 0 stands for a probe. */
-bool DomainShares::acceptBorrower(Peer &peer, EntryKey ownership, std::uint32_t sequence) const
+/** Moves the loan of the sender to the front; nothing if a newer request of it was already heard. */
+DomainShares::Loan *DomainShares::loanOf(Peer &peer, const ShareRequest &request)
 {
-    if (peer.borrower == ownership) {
-        return sequence > peer.heardSequence;
+    auto it = std::find_if(peer.loans.begin(), peer.loans.end(), [&](const Loan &loan) {
+        return loan.ownership == request.ownership;
+    });
+    if (it != peer.loans.end() && request.sequence <= it->sequence) {
+        return nullptr;
     }
-    if (std::find(peer.formerBorrowers.begin(), peer.formerBorrowers.end(), ownership) != peer.formerBorrowers.end()) {
-        return false;
+    if (it == peer.loans.end()) {
+        it = std::prev(peer.loans.end());
+        *it = Loan{request.ownership, 0, 0, {}};
+    }
+    std::rotate(peer.loans.begin(), it, std::next(it));
+    return peer.loans.data();
+}
+
+/** A loan comes home when its holder is silent while another owner of the same domain is heard. */
+void DomainShares::dropFormerLoans(TimePoint now)
+{
+    for (Peer &peer : m_peers) {
+        for (auto it = std::next(peer.loans.begin()); it != peer.loans.end(); ++it) {
+            if (peer.loans[0].heardAt - it->heardAt > loanLifetime && now - it->heardAt > loanLifetime) {
+                it->lent = 0;
+            }
+        }
     }
-    peer.formerBorrowers[1] = std::exchange(peer.formerBorrowers[0], peer.borrower);
-    peer.borrower = ownership;
-    return true;
 }
 
 /** Starts to find out what is lent; a workspace without demand here sends no messages. */
@@ -155,30 +173,29 @@
         return std::nullopt;
     }
     Peer &peer = m_peers[request.from];
-    if (!acceptBorrower(peer, request.incarnation, request.sequence)) {
+    Loan *loan = loanOf(peer, request);
+    if (loan == nullptr) {
         return std::nullopt;
     }
-    peer.heardSequence = request.sequence;
-    peer.heardAt = now;
+    *loan = {request.ownership, request.held, request.sequence, now};
     peer.isHeard = true;
     peer.wish = request.wanted;
-    peer.lent = request.held;
     if (request.wanted > request.held) {
         need(now);
     }
     updateSettled(now);
-    const ShareUnits others = lentTotal() - peer.lent;
+    const ShareUnits others = lentTotal() - request.held;
     const ShareUnits room = home() - std::min(home(), reserve() + others);
-    const ShareUnits loan = m_isSettled ? std::min(fairLoan(now, request.from), room) : std::min(request.held, room);
+    const ShareUnits part = m_isSettled ? std::min(fairLoan(now, request.from), room) : std::min(request.held, room);
     // The borrower holds the old amount until it gets this answer and the new one afterwards.
-    peer.lent = std::max(request.held, loan);
+    loan->lent = std::max(request.held, part);
     return ShareMessage{request.from,
-                        ShareReply{m_workspace, m_config.self, request.incarnation, request.sequence, loan}};
+                        ShareReply{m_workspace, m_config.self, request.ownership, request.sequence, part}};
 }
 
 void DomainShares::onReply(const ShareReply &reply)
 {
-    if (reply.from >= m_peers.size() || isSelf(reply.from) || reply.incarnation != m_ownership) {
+    if (reply.from >= m_peers.size() || isSelf(reply.from) || reply.ownership != m_ownership) {
         return;
     }
     Peer &peer = m_peers[reply.from];
@@ -192,16 +209,9 @@
     peer.borrowed = reply.lent;
 }
 
-ShareMessage DomainShares::onProbe(TimePoint now, const ShareProbe &probe)
+ShareMessage DomainShares::onProbe(TimePoint now, DomainIndex lender)
 {
-    Peer &peer = m_peers[probe.from];
-    // A new owner holds nothing yet; its predecessor's loan comes home.
-    if (peer.borrower != probe.incarnation && acceptBorrower(peer, probe.incarnation, 0)) {
-        peer.heardSequence = 0;
-        peer.lent = 0;
-        peer.wish = 0;
-    }
-    return makeRequest(now, probe.from, peer.borrowed);
+    return makeRequest(now, lender, m_peers[lender].borrowed);
 }
 
 ShareMessage DomainShares::makeRequest(TimePoint now, DomainIndex to, ShareUnits wanted)
@@ -250,7 +260,8 @@
         const Peer &peer = m_peers[i];
         const auto period = peer.unanswered > 2 ? shortAskPeriod : askPeriod;
         const bool isLost = peer.unanswered > 0 && now - peer.sentAt >= period;
-        if (!isSelf(i) && (isLost || (peer.isReportDue && peer.unanswered == 0))) {
+        const bool isRenewal = peer.borrowed > 0 && now - peer.sentAt >= renewPeriod;
+        if (!isSelf(i) && (isLost || isRenewal || (peer.isReportDue && peer.unanswered == 0))) {
             out.push_back(makeRequest(now, static_cast<DomainIndex>(i), peer.borrowed));
         }
     }
@@ -262,10 +273,10 @@
         Peer &peer = m_peers[i];
         // A domain that was cut off when this owner started may still hold a loan of the former owner.
         const auto unheardPeriod = m_isSettled ? shortAskPeriod : startProbePeriod;
-        const bool isDue = (m_isNeeded && !peer.isHeard) || (isRecall && peer.lent > 0);
+        const bool isDue = (m_isNeeded && !peer.isHeard) || (isRecall && peer.lent() > 0);
         if (!isSelf(i) && isDue && now - peer.probedAt >= (peer.isHeard ? probePeriod : unheardPeriod)) {
             peer.probedAt = now;
-            out.push_back({static_cast<DomainIndex>(i), ShareProbe{m_workspace, m_config.self, m_ownership}});
+            out.push_back({static_cast<DomainIndex>(i), ShareProbe{m_workspace, m_config.self}});
         }
     }
 }
@@ -277,6 +288,7 @@
         need(now);
     }
     updateSettled(now);
+    dropFormerLoans(now);
     const ShareUnits target = scaled(demand, 110);
     const ShareUnits plenty = scaled(demand, 130);
     const bool isInNeed = target > share() + home() / 50;
--- a/src/domain_shares.h
+++ b/src/domain_shares.h
@@ -32,30 +32,40 @@
     /** Answers a borrower; a request that is late or from a former owner gets no answer. */
     std::optional<ShareMessage> onRequest(TimePoint now, const ShareRequest &request);
     void onReply(const ShareReply &reply);
-    ShareMessage onProbe(TimePoint now, const ShareProbe &probe);
+    ShareMessage onProbe(TimePoint now, DomainIndex lender);
 
     /** Whether nothing is lent or borrowed, so that the state may be dropped. */
     bool isAtHome() const;
     static std::size_t peerBytes();
 
 private:
+    /** What one owner in another domain holds from here; owners that disagree on who is owner are counted apart. */
+    struct Loan
+    {
+        EntryKey ownership = 0;
+        ShareUnits lent = 0; ///< Most that it can hold.
+        std::uint32_t sequence = 0; ///< Of its last request.
+        TimePoint heardAt{};
+    };
+
     struct Peer
     {
+        std::array<Loan, 3> loans{}; ///< Last heard first.
+        ShareUnits wish = 0; ///< What its owner last wanted to hold from here.
         ShareUnits borrowed = 0; ///< Held from this domain.
-        ShareUnits lent = 0; ///< Most that this domain's owner can hold from here.
-        ShareUnits wish = 0; ///< What it last wanted to hold from here.
         ShareUnits asked = 0; ///< What this domain last wanted to hold from it.
         std::uint32_t sentSequence = 0;
-        std::uint32_t heardSequence = 0;
-        EntryKey borrower = 0; ///< Ownership of the last request that was heard.
-        std::array<EntryKey, 2> formerBorrowers{};
-        TimePoint heardAt{};
         TimePoint sentAt{};
         TimePoint probedAt{};
         std::uint8_t unanswered = 0; ///< Requests sent since the last answer.
         bool isShort = false; ///< Lent less than was asked for the last time.
         bool isReportDue = false; ///< Holds less than the lender was last told.
         bool isHeard = false; ///< Has told what it holds since this owner started.
+
+        ShareUnits lent() const
+        {
+            return loans[0].lent + loans[1].lent + loans[2].lent;
+        }
     };
 
     bool isSelf(std::size_t domain) const;
@@ -65,7 +75,8 @@
     ShareUnits borrowedTotal() const;
     ShareUnits wishOf(TimePoint now, const Peer &peer) const;
     ShareUnits fairLoan(TimePoint now, DomainIndex borrower) const;
-    bool acceptBorrower(Peer &peer, EntryKey ownership, std::uint32_t sequence) const;
+    static Loan *loanOf(Peer &peer, const ShareRequest &request);
+    void dropFormerLoans(TimePoint now);
     void need(TimePoint now);
     void updateSettled(TimePoint now);
     ShareMessage makeRequest(TimePoint now, DomainIndex to, ShareUnits wanted);
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -418,13 +418,13 @@
     }
     Row &row = rowOf(now, probe.workspace);
     refill(now, row);
-    return row.shares.onProbe(now, probe);
+    return row.shares.onProbe(now, probe.from);
 }
 
 ShareUnits QuotaOwner::share(WorkspaceKey workspace) const
 {
     const auto it = m_rows.find(workspace);
-    return it == m_rows.end() ? wholeShare / m_config.domains : it->second.shares.share();
+    return it == m_rows.end() ? 0 : it->second.shares.share();
 }
 
 void QuotaOwner::release(WorkspaceKey workspace)
--- a/src/quota.h
+++ b/src/quota.h
@@ -98,7 +98,7 @@
     /** Messages to the owners in other domains that are due; call every 100 ms to 1 s. */
     std::vector<ShareMessage> tick(TimePoint now);
 
-    /** Share of this domain in the workspace's limit. */
+    /** Share of this domain in the workspace's limit; 0 while no entry has asked for a lease. */
     ShareUnits share(WorkspaceKey workspace) const;
     /** Forgets a workspace that another entry owns now. */
     void release(WorkspaceKey workspace);
--- a/src/quota_type.h
+++ b/src/quota_type.h
@@ -48,7 +48,7 @@
 {
     WorkspaceKey workspace = 0;
     DomainIndex from = 0;
-    EntryKey incarnation = 0;
+    EntryKey ownership = 0; ///< Identifies the sender's term as owner.
     std::uint32_t sequence = 0; ///< Only the answer to the latest request is used.
     ShareUnits held = 0;
     ShareUnits wanted = 0;
@@ -59,7 +59,7 @@
 {
     WorkspaceKey workspace = 0;
     DomainIndex from = 0;
-    EntryKey incarnation = 0; ///< Of the borrower's owner that asked.
+    EntryKey ownership = 0; ///< Of the request.
     std::uint32_t sequence = 0;
     ShareUnits lent = 0;
 };
@@ -69,7 +69,6 @@
 {
     WorkspaceKey workspace = 0;
     DomainIndex from = 0;
-    EntryKey incarnation = 0;
 };
 
 /** A message to the quota owner of its workspace in another failure domain. */
--- a/src/quota_wire.cpp
+++ b/src/quota_wire.cpp
@@ -51,17 +51,17 @@
 
 void packRow(Packer &packer, const ShareRequest &row)
 {
-    packer.pack(std::make_tuple(row.workspace, row.from, row.incarnation, row.sequence, row.held, row.wanted));
+    packer.pack(std::make_tuple(row.workspace, row.from, row.ownership, row.sequence, row.held, row.wanted));
 }
 
 void packRow(Packer &packer, const ShareReply &row)
 {
-    packer.pack(std::make_tuple(row.workspace, row.from, row.incarnation, row.sequence, row.lent));
+    packer.pack(std::make_tuple(row.workspace, row.from, row.ownership, row.sequence, row.lent));
 }
 
 void packRow(Packer &packer, const ShareProbe &row)
 {
-    packer.pack(std::make_tuple(row.workspace, row.from, row.incarnation));
+    packer.pack(std::make_tuple(row.workspace, row.from));
 }
 
 template<typename Row>
@@ -161,7 +161,7 @@
 
 void readRow(RowReader &reader, ShareProbe &row)
 {
-    row = {reader.number<WorkspaceKey>(), reader.number<DomainIndex>(), reader.number<EntryKey>()};
+    row = {reader.number<WorkspaceKey>(), reader.number<DomainIndex>()};
 }
 
 template<typename Row>
--- /dev/null
+++ b/tests/unit_quota_test.cpp
@@ -0,0 +1,89 @@
+#include "quota.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards the single steps of leases that the fuzz test cannot tell apart. */
+class QuotaTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuotaTest);
+    CPPUNIT_TEST(unspentLeaseLapses);
+    CPPUNIT_TEST(tokensAreChargedAndCorrected);
+    CPPUNIT_TEST(unreachableOwnerLeavesTheEvenPart);
+    CPPUNIT_TEST(ownerDividesMaxMin);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr QuotaAmount even{2, 200};
+    static constexpr QuotaAmount limit{100, 100'000};
+    const TimePoint start{1000s};
+
+    /** Spends once to get a lease request and grants it @p amount. */
+    static void lease(QuotaClient &client, TimePoint now, const QuotaAmount &amount)
+    {
+        client.spend(now, 1, even, 10);
+        const auto requests = client.takeRequests(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests.size());
+        client.onGrant(now, {1, requests[0].sequence, amount});
+    }
+
+    static bool isAdmitted(QuotaClient &client, TimePoint now, double tokens)
+    {
+        return client.spend(now, 1, even, tokens).verdict == QuotaVerdict::Admit;
+    }
+
+public:
+    /** Leases that outlive their second would add up over entries. */
+    void unspentLeaseLapses()
+    {
+        QuotaClient client;
+        lease(client, start, {50, 5000});
+        CPPUNIT_ASSERT(isAdmitted(client, start + 900ms, 10));
+        int admitted = 0;
+        for (int i = 0; i < 20; ++i) {
+            admitted += isAdmitted(client, start + 1000ms, 10) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, admitted);
+    }
+
+    /** A charge that is never corrected starves callers whose estimates are high. */
+    void tokensAreChargedAndCorrected()
+    {
+        QuotaClient client;
+        lease(client, start, {50, 1010});
+        CPPUNIT_ASSERT(isAdmitted(client, start, 1000));
+        CPPUNIT_ASSERT(!isAdmitted(client, start, 10));
+        client.correct(start, 1, 1000, 400);
+        CPPUNIT_ASSERT(isAdmitted(client, start, 10));
+    }
+
+    /** A lost owner must neither stop a workspace nor lift its limit. */
+    void unreachableOwnerLeavesTheEvenPart()
+    {
+        QuotaClient client;
+        int admitted = 0;
+        for (auto now = start; now < start + 10s; now += 10ms) {
+            admitted += isAdmitted(client, now, 10) ? 1 : 0;
+            client.takeRequests(now);
+        }
+        CPPUNIT_ASSERT(admitted >= 18 && admitted <= 22);
+    }
+
+    /** An entry with little demand gets all of it beside one that would take everything. */
+    void ownerDividesMaxMin()
+    {
+        QuotaOwner owner(QuotaOwnerConfig{1, 0, 1});
+        double large = 0;
+        double small = 0;
+        std::uint32_t sequence = 0;
+        for (auto now = start; now < start + 10s; now += 500ms) {
+            large += owner.onLeaseRequest(now, 1, {1, ++sequence, {1000, 1000}, {}}, limit).amount.requests;
+            small += owner.onLeaseRequest(now, 2, {1, ++sequence, {20, 20}, {}}, limit).amount.requests;
+        }
+        CPPUNIT_ASSERT(small >= 190);
+        CPPUNIT_ASSERT(large >= 700 && large + small <= 1100);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaTest);
