Divide a domain's share by present demand only

Credit beyond one request now lapses, and a new owner starts with the burst of the share that it may use. Ruled out: reserving the level for the others' credit, which can block two entries for ever.

--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -339,10 +339,10 @@
     QuotaAmount grant{
         take(row.level.requests, client.credit.requests, need.requests, need.requests * slack + 1, capacity),
         take(row.level.tokens, client.credit.tokens, need.tokens, need.tokens * slack, perSecond.tokens * lease)};
-    // A part of a request cannot be spent; it stays with the owner.
+    // A part of a request cannot be spent; it is kept. More must not be: what the level could not pay would later be
+    // taken from the part of the others.
     grant.requests = std::floor(grant.requests + 1e-9);
-    client.credit.requests = std::max(0.0, client.credit.requests - grant.requests);
-    client.credit.tokens = std::max(0.0, client.credit.tokens - grant.tokens);
+    client.credit = {std::clamp(client.credit.requests - grant.requests, 0.0, 1.0), 0};
     row.level.requests -= grant.requests;
     row.level.tokens -= grant.tokens;
     return grant;
@@ -352,9 +352,14 @@
 QuotaOwner::onLeaseRequest(TimePoint now, EntryKey entry, const LeaseRequest &request, const QuotaAmount &limit)
 {
     Row &row = rowOf(now, request.workspace);
+    const bool isFirst = row.limit == QuotaAmount{};
     refill(now, row);
     row.limit = limit;
     row.lastAsk = now;
+    if (isFirst) {
+        const QuotaAmount burst = rate(row) * seconds(m_config.lease);
+        row.level = {std::max(1.0, burst.requests), burst.tokens};
+    }
     Client &client = clientOf(now, row, entry);
     return {request.workspace, request.sequence, grantFor(now, row, client, request)};
 }
