--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "agent_pool.h"
 #include "log.h"
+#include "quota.h"
 #include "ticket.h"
 #include "verdict.h"
 #include "wire.h"
@@ -58,11 +59,10 @@
     , m_exclusive("turmericline-agent-" + m_settings.server)
     , m_started(std::chrono::steady_clock::now())
     , m_incarnation(makeIncarnation())
-    , m_ledger(m_settings.server, m_incarnation, LedgerSettings{})
-    , m_binder(m_incarnation, KeyBinderSettings{})
     , m_ownership(m_settings.server)
     , m_tls(readKeys(m_settings.peerKeys))
     , m_http(io)
+    , m_queue(FairQueueConfig{.maxLength = static_cast<std::uint32_t>(m_settings.queueLength)})
     , m_peerServer(io,
                    m_tls,
                    m_settings.address,
@@ -90,7 +90,7 @@
                    m_peerServer.drain();
                },
                [this] {
-                   return m_queue.empty() && m_running.empty() && m_peerServer.openStreamCount() == 0;
+                   return m_calls.empty() && m_peerServer.openStreamCount() == 0;
                },
                [this] {
                    m_io.stop();
@@ -128,7 +128,7 @@
     return std::chrono::duration_cast<Age>(std::chrono::steady_clock::now() - m_started);
 }
 
-std::size_t Agent::slots() const
+std::uint32_t Agent::slots() const
 {
     const auto id = m_document.servers.find(m_settings.server);
     return id.isValid() ? m_document.servers[id].slots : BackendServer{}.slots;
@@ -153,7 +153,7 @@
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age()).count();
     return {{std::string(wire::incarnation), formatAgentAge({m_incarnation, static_cast<std::uint64_t>(seconds)})},
-            {std::string(wire::load), std::to_string(m_running.size()) + "." + std::to_string(m_queue.size())}};
+            {std::string(wire::load), std::to_string(m_queue.running()) + "." + std::to_string(m_queue.waiting())}};
 }
 
 void Agent::handle(const std::shared_ptr<H2ServerStream> &stream)
@@ -172,11 +172,15 @@
     }
 }
 
-void Agent::refuse(H2ServerStream &stream, int status, Verdict verdict, const std::string &reason)
+void Agent::refuse(H2ServerStream &stream,
+                   int status,
+                   Verdict verdict,
+                   const std::string &reason,
+                   std::chrono::milliseconds retryAfter)
 {
     auto headers = standardHeaders();
     if (verdict == Verdict::NotRun) {
-        headers.emplace_back(wire::retryAfterMs, std::to_string(busyRetryAfter.count()));
+        headers.emplace_back(wire::retryAfterMs, std::to_string(std::max(retryAfter, busyRetryAfter).count()));
     }
     stream.reply(
         status,
@@ -223,8 +227,12 @@
 bool Agent::admitKeyed(const Call &call)
 {
     const auto reason = refusalReason();
-    const auto result = reason.empty() ? m_ledger.admit(call->workspace, *call->ticket, age())
-                                       : m_ledger.seal(call->workspace, *call->ticket, age());
+    if (!m_ledger) {
+        refuse(*call->stream, 503, Verdict::MayHaveRun, reason);
+        return false;
+    }
+    const auto result = reason.empty() ? m_ledger->admit(call->workspace, *call->ticket, age())
+                                       : m_ledger->seal(call->workspace, *call->ticket, age());
     if (result.admission == Admission::Admitted) {
         m_keyedCalls.emplace(*call->ticket, call);
         return true;
@@ -248,37 +256,44 @@
 
 void Agent::enqueue(const Call &call)
 {
-    if (m_queue.size() >= m_settings.queueLength) {
-        finish(call, Verdict::NotRun, "queue is full");
-        return;
-    }
-    // Urgent calls wait only for other urgent calls.
-    auto it = m_queue.end();
-    while (it != m_queue.begin() && (*std::prev(it))->requestClass > call->requestClass) {
-        --it;
-    }
-    m_queue.insert(it, call);
+    call->id = ++m_lastId;
+    m_calls.emplace(call->id, call);
+    std::vector<QueuedCall> shed;
+    const auto decision = m_queue.offer(
+        AgentCall::Clock::now(),
+        {call->id, workspaceKey(call->workspace), call->requestClass, call->cost, call->weight, call->deadline},
+        shed);
+    if (decision.verdict != QueueVerdict::Queued) {
+        call->retryAfter = decision.retryAfter;
+        finish(
+            call, Verdict::NotRun, decision.verdict == QueueVerdict::Full ? "queue is full" : "deadline is too near");
+    }
+    finishNotRun(shed, "shed for a call of a higher class");
     dispatch();
 }
 
-void Agent::dispatch()
+void Agent::finishNotRun(const std::vector<QueuedCall> &calls, const std::string &reason)
 {
-    while (m_running.size() < slots() && !m_queue.empty()) {
-        const auto call = m_queue.front();
-        m_queue.pop_front();
-        if (AgentCall::Clock::now() >= call->deadline) {
-            finish(call, Verdict::NotRun, "deadline passed in the queue");
-            continue;
+    for (const auto &it : calls) {
+        if (const auto found = m_calls.find(it.id); found != m_calls.end()) {
+            finish(Call(found->second), Verdict::NotRun, reason);
         }
-        startBackend(call);
     }
 }
 
+void Agent::dispatch()
+{
+    std::vector<QueuedCall> late;
+    while (const auto next = m_queue.start(AgentCall::Clock::now(), late)) {
+        startBackend(Call(m_calls.at(next->id)));
+    }
+    finishNotRun(late, "deadline passed in the queue");
+}
+
 void Agent::startBackend(const Call &call)
 {
     call->isRunning = true;
     call->lastHeard = AgentCall::Clock::now();
-    m_running.push_back(call);
     std::string body;
     std::string contentType;
     if (call->stream) {
@@ -364,24 +379,27 @@
 
 void Agent::finish(const Call &call, Verdict verdict, const std::string &reason)
 {
+    if (m_calls.erase(call->id) == 0) {
+        return;
+    }
     if (call->isRunning) {
-        m_running.remove(call);
-    } else if (const auto it = std::find(m_queue.begin(), m_queue.end(), call); it != m_queue.end()) {
-        m_queue.erase(it);
+        m_queue.finish(AgentCall::Clock::now(), call->id);
+    } else {
+        m_queue.cancel(call->id);
     }
     if (call->ticket) {
         m_keyedCalls.erase(*call->ticket);
         if (verdict == Verdict::Run) {
-            m_ledger.finish(*call->ticket, call->answer, age());
+            m_ledger->finish(*call->ticket, call->answer, age());
         } else {
-            m_ledger.fail(*call->ticket, verdict, age());
+            m_ledger->fail(*call->ticket, verdict, age());
         }
     }
     if (call->stream && call->headSent) {
         call->stream->end(
             {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
     } else if (call->stream) {
-        refuse(*call->stream, 503, verdict, reason);
+        refuse(*call->stream, 503, verdict, reason, call->retryAfter);
     }
     answerWaiters(call, verdict, reason);
     dispatch();
@@ -402,27 +420,27 @@
 void Agent::handleSeal(H2ServerStream &stream)
 {
     const auto ticket = parseTicket(stream.header(wire::key));
-    if (!ticket) {
-        refuse(stream, 400, Verdict::MayHaveRun, "invalid ticket");
+    if (!ticket || !m_ledger) {
+        refuse(stream, ticket ? 503 : 400, Verdict::MayHaveRun, ticket ? refusalReason() : "invalid ticket");
         return;
     }
-    const auto result = m_ledger.seal(stream.header(wire::workspace), *ticket, age());
+    const auto result = m_ledger->seal(stream.header(wire::workspace), *ticket, age());
     refuse(stream, 200, result.verdict, std::string(nameOf(admissionNames, result.admission)));
 }
 
 void Agent::handleBind(H2ServerStream &stream)
 {
     const auto ownerAge = parseAgentAge(stream.header(wire::ownerAge));
-    if (!ownerAge) {
-        refuse(stream, 400, Verdict::MayHaveRun, "invalid owner age");
+    if (!ownerAge || !m_binder) {
+        refuse(stream, ownerAge ? 503 : 400, Verdict::MayHaveRun, ownerAge ? refusalReason() : "invalid owner age");
         return;
     }
     const BindRequest request{
         stream.header(wire::workspace), stream.header(wire::service), stream.header(wire::key), *ownerAge};
     const auto proposed = stream.header(wire::ticket);
     const auto since = m_ownership.ownedSince(request);
-    const auto result = proposed.empty() ? m_binder.sealUnbound(request, since, age())
-                                         : m_binder.bind(request, proposed, since, age());
+    const auto result = proposed.empty() ? m_binder->sealUnbound(request, since, age())
+                                         : m_binder->bind(request, proposed, since, age());
     auto headers = standardHeaders();
     if (result.binding == Binding::Bound) {
         headers.emplace_back(wire::ticket, result.ticket);
@@ -431,7 +449,7 @@
                  headers,
                  {},
                  {{std::string(wire::verdict), std::string(verdictName(result.verdict))},
-                  {std::string(wire::reason), "key was not bound"}});
+                  {std::string(wire::reason), std::string(nameOf(bindingNames, result.binding))}});
 }
 
 void Agent::handleHello(H2ServerStream &stream)
@@ -453,26 +471,45 @@
         return;
     }
     m_document = std::move(*parse.document);
+    makeLedger();
+    m_queue.setSlots(slots());
     m_ownership.update(m_document, age());
     m_metrics.setDocument(m_document);
     logEvent(LogLevel::Info, "configuration in force", {{"version", m_document.version}});
     dispatch();
 }
 
+void Agent::makeLedger()
+{
+    if (m_ledger) {
+        return;
+    }
+    LedgerSettings ledger;
+    ledger.lifetime = m_document.keyLifetime;
+    ledger.maxEntries = m_settings.ledgerEntries;
+    m_ledger.emplace(m_settings.server, m_incarnation, ledger);
+    KeyBinderSettings binder;
+    binder.lifetime = m_document.keyLifetime;
+    // A short lifetime needs a shorter bound on delays too, or the window after a start would be many lifetimes long.
+    // Ages travel in whole seconds, so a bound under three seconds would refuse prompt calls.
+    constexpr int delayShare = 4;
+    constexpr Age leastDelay = std::chrono::seconds(3);
+    binder.maxDelay = std::clamp(Age(binder.lifetime / delayShare), leastDelay, binder.maxDelay);
+    binder.maxEntries = m_settings.ledgerEntries;
+    m_binder.emplace(m_incarnation, binder);
+}
+
 void Agent::tick()
 {
-    m_ledger.expire(age());
-    m_binder.expire(age());
-    const auto now = AgentCall::Clock::now();
-    const auto queued = m_queue;
-    for (const auto &it : queued) {
-        if (now >= it->deadline) {
-            finish(it, Verdict::NotRun, "deadline passed in the queue");
-        }
+    if (m_ledger) {
+        m_ledger->expire(age());
+        m_binder->expire(age());
     }
-    const auto running = m_running;
-    for (const auto &it : running) {
-        if (now - it->lastHeard > m_settings.backendSilence) {
+    dispatch();
+    const auto now = AgentCall::Clock::now();
+    const auto calls = m_calls;
+    for (const auto &[id, it] : calls) {
+        if (it->isRunning && now - it->lastHeard > m_settings.backendSilence) {
             m_http.cancel(it->backendRequest);
             finish(it, Verdict::MayHaveRun, "backend server is silent");
         }
@@ -491,11 +528,11 @@
             {"domain", m_settings.domain},
             {"version", m_document.version},
             {"age_s", std::chrono::duration_cast<std::chrono::seconds>(age()).count()},
-            {"running", m_running.size()},
-            {"queued", m_queue.size()},
+            {"running", m_queue.running()},
+            {"queued", m_queue.waiting()},
             {"slots", slots()},
-            {"ledger_entries", m_ledger.size()},
-            {"bound_keys", m_binder.size()},
+            {"ledger_entries", m_ledger ? m_ledger->size() : 0},
+            {"bound_keys", m_binder ? m_binder->size() : 0},
             {"refuses", refusalReason()}};
 }
 
--- a/src/agent.h
+++ b/src/agent.h
@@ -5,6 +5,7 @@
 #include "document.h"
 #include "drain.h"
 #include "exclusive_socket.h"
+#include "fair_queue.h"
 #include "h2_server.h"
 #include "http_client.h"
 #include "key_binder.h"
@@ -16,10 +17,10 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <deque>
-#include <list>
 #include <map>
 #include <memory>
+#include <optional>
+#include <unordered_map>
 
 namespace turmericline {
 
@@ -54,6 +55,7 @@
     bool admitKeyed(const Call &call);
     void enqueue(const Call &call);
     void dispatch();
+    void finishNotRun(const std::vector<QueuedCall> &calls, const std::string &reason);
     void startBackend(const Call &call);
     void onBackendHead(const Call &call, int status, const HttpHeaders &headers);
     void onBackendBody(const Call &call, std::string_view chunk);
@@ -61,13 +63,18 @@
     void onEntryGone(const Call &call);
     void finish(const Call &call, Verdict verdict, const std::string &reason);
     void answerWaiters(const Call &call, Verdict verdict, const std::string &reason);
-    void refuse(H2ServerStream &stream, int status, Verdict verdict, const std::string &reason);
+    void refuse(H2ServerStream &stream,
+                int status,
+                Verdict verdict,
+                const std::string &reason,
+                std::chrono::milliseconds retryAfter = {});
     void replay(H2ServerStream &stream, const Answer &answer);
 
     void tick();
     void applyDocument(const std::string &text);
     std::string refusalReason() const; ///< Why no new work is taken; empty if it is.
-    std::size_t slots() const;
+    std::uint32_t slots() const;
+    void makeLedger();
     Age age() const;
     HttpHeaders standardHeaders() const;
     nlohmann::json status() const;
@@ -77,16 +84,17 @@
     ExclusiveSocket m_exclusive; ///< Held for life, so that only one agent feeds the server.
     std::chrono::steady_clock::time_point m_started;
     std::uint64_t m_incarnation;
-    Ledger m_ledger;
-    KeyBinder m_binder;
+    std::optional<Ledger> m_ledger; ///< Made with the first document, which says how long keys live.
+    std::optional<KeyBinder> m_binder;
     KeyOwnership m_ownership;
     PeerTls m_tls;
     HttpClient m_http;
     Metrics m_metrics;
     Document m_document;
     bool m_listedAsLeaving = false;
-    std::deque<Call> m_queue;
-    std::list<Call> m_running;
+    FairQueue m_queue;
+    std::unordered_map<std::uint64_t, Call> m_calls; ///< Waiting and running, by id.
+    std::uint64_t m_lastId = 0;
     std::map<Ticket, Call> m_keyedCalls; ///< Queued or running keyed calls.
     H2Server m_peerServer;
     OpsServer m_ops;
--- a/src/agent_call.cpp
+++ b/src/agent_call.cpp
@@ -3,6 +3,7 @@
 #include "ticket.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace turmericline {
@@ -36,6 +37,10 @@
     if (!requestClass || !budget) {
         return Result<AgentCall>::fail("invalid class or budget");
     }
+    constexpr double weightUnit = 1'000;
+    call.cost = static_cast<double>(std::max<std::uint64_t>(1, number(stream.header(wire::cost)).value_or(1)));
+    call.weight = static_cast<double>(std::max<std::uint64_t>(1, number(stream.header(wire::weight)).value_or(1'000)))
+                  / weightUnit;
     call.requestClass = *requestClass;
     call.deadline = now + std::chrono::milliseconds(*budget);
     if (const auto resume = stream.header(wire::resume); !resume.empty()) {
--- a/src/agent_call.h
+++ b/src/agent_call.h
@@ -26,6 +26,9 @@
     std::string method;
     std::string path; ///< With the query, as the backend server gets it.
     std::string callerKey; ///< Idempotency-Key as the backend server gets it; empty if none.
+    std::uint64_t id = 0; ///< Unique in this agent.
+    double cost = 1; ///< Expected work in tokens.
+    double weight = 1; ///< Of the workspace's plan.
     bool isIdempotent = false;
     std::optional<std::uint64_t> resumeOffset;
     std::optional<Ticket> ticket; ///< Set for keyed calls.
@@ -34,6 +37,7 @@
     std::shared_ptr<H2ServerStream> stream; ///< Empty once the entry has gone.
     std::vector<std::shared_ptr<H2ServerStream>> waiters; ///< Later copies that wait for the answer.
 
+    std::chrono::milliseconds retryAfter{0}; ///< For a refused call.
     bool isRunning = false;
     HttpClient::RequestId backendRequest = 0;
     Clock::time_point lastHeard;
--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t failuresBeforeAvoiding = 2;
 constexpr std::chrono::milliseconds minAvoidTime{500};
 constexpr std::chrono::milliseconds maxAvoidTime{8'000};
+constexpr std::chrono::milliseconds maxAgeOfHeard{1'000};
 
 bool readPair(std::string_view text, std::uint32_t &first, std::uint32_t &second)
 {
@@ -117,6 +118,29 @@
     return it == m_peers.end() ? nullptr : it->second;
 }
 
+void AgentPool::refreshAge(const std::shared_ptr<AgentPeer> &peer, std::function<void(bool isKnown)> done)
+{
+    const auto now = AgentPeer::Clock::now();
+    // A lost connection may mean a new incarnation, which a ticket must not miss.
+    if (peer->heardAge && peer->client->isConnected() && now - peer->heardAt < maxAgeOfHeard) {
+        done(true);
+        return;
+    }
+    auto heard = std::make_shared<bool>(false);
+    peer->client->start({"GET", "/hello", {}, {}},
+                        {[peer, heard](int status, const HttpHeaders &headers) {
+                             *heard = status == 200;
+                             peer->hear(headers, AgentPeer::Clock::now());
+                         },
+                         {},
+                         [peer, heard, done = std::move(done)](const H2Result &result) {
+                             if (!result.complete) {
+                                 peer->fail(AgentPeer::Clock::now());
+                             }
+                             done(*heard && peer->heardAge.has_value());
+                         }});
+}
+
 bool AgentPool::isListedLeaving(std::string_view server) const
 {
     return m_listedLeaving.contains(server);
--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -55,6 +56,8 @@
     /** Agents of a service that may get new work, without those in @p excluded. */
     std::vector<std::shared_ptr<AgentPeer>>
     candidates(const Document &document, Id<Service> service, std::span<const std::string> excluded) const;
+    /** Makes sure that incarnation and age were heard a short while ago; @p done gets false if the agent is silent. */
+    static void refreshAge(const std::shared_ptr<AgentPeer> &peer, std::function<void(bool isKnown)> done);
     bool isListedLeaving(std::string_view server) const;
     nlohmann::json status(const Document &document) const;
 
--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -237,6 +237,16 @@
 
 } // namespace
 
+std::uint64_t CallerRequest::expectedTokens() const
+{
+    if (kind == ServiceKind::Plain) {
+        return 1;
+    }
+    constexpr std::uint64_t bytesPerToken = 4;
+    constexpr std::uint64_t usualAnswerTokens = 256; // For callers that set no limit.
+    return body.size() / bytesPerToken + (maxTokens != 0 ? maxTokens : usualAnswerTokens);
+}
+
 Verdict refusalVerdict(bool isIdempotent, bool hasKey)
 {
     return hasKey && !isIdempotent ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -40,6 +40,9 @@
     bool isStream = false;
     bool isIdempotent = false;
     std::uint64_t maxTokens = 0; ///< 0 if not given.
+    /** Prompt and answer together, from the size of the body and max_tokens. */
+    std::uint64_t expectedTokens() const;
+
     std::string fingerprint; ///< 32 hex digits over workspace, service and body.
     std::uint64_t prefixHash = 0; ///< Of the workspace and the start of the prompt, for cache affinity.
 };
--- a/src/document_transition.cpp
+++ b/src/document_transition.cpp
@@ -41,6 +41,10 @@
 std::vector<DocumentFault> checkTransition(const Document &from, const Document &to)
 {
     std::vector<DocumentFault> faults;
+    if (from.keyLifetime != to.keyLifetime) {
+        // Agents forget keys after the old lifetime, so a longer one would let a resent key run again.
+        faults.push_back({"$.key_lifetime_s", "cannot be changed while the fleet runs"});
+    }
     std::size_t i = 0;
     for (const auto &it : to.services) {
         const auto path = fmt::format("$.services[{}].key_owners", i++);
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds tickInterval{50};
+
 std::vector<PeerKey> readKeys(const std::vector<std::string> &texts)
 {
     std::vector<PeerKey> keys;
@@ -49,6 +51,9 @@
                 m_document,
                 m_agents,
                 m_metrics,
+                [this] {
+                    return m_previousTick;
+                },
                 [this](const EntryCall &call) {
                     m_calls.erase(&call);
                 }}
@@ -106,8 +111,12 @@
                       return m_document.version;
                   },
                   {}})
+    , m_tickTimer(io)
+    , m_lastTick(std::chrono::steady_clock::now())
+    , m_previousTick(m_lastTick)
 {
     m_platform.start();
+    tick();
     logEvent(LogLevel::Info,
              "entry started",
              {{"port", port()}, {"ops_port", opsPort()}, {"peer_port", peerPort()}, {"domain", m_settings.domain}});
@@ -211,6 +220,19 @@
     m_tickets.issue(m_document, std::get<Id<Service>>(service), responder);
 }
 
+void Entry::tick()
+{
+    // Two ticks are kept: after a freeze the latest one may be newer than a request that waited in the socket.
+    m_previousTick = m_lastTick;
+    m_lastTick = std::chrono::steady_clock::now();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](asio::error_code ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
 void Entry::handlePeer(H2ServerStream &stream) const
 {
     stream.reply(404, {}, {});
--- a/src/entry.h
+++ b/src/entry.h
@@ -47,6 +47,7 @@
     void handleTicket(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void startCall(CallerRequest request, std::uint64_t connection, const std::shared_ptr<HttpResponder> &responder);
     void onConnectionClosed(std::uint64_t connection);
+    void tick();
     void handlePeer(H2ServerStream &stream) const;
     void applyDocument(const std::string &text);
     bool isReady() const;
@@ -69,6 +70,9 @@
     HttpServer m_callers;
     DrainControl m_drain;
     PlatformClient m_platform;
+    asio::steady_timer m_tickTimer;
+    std::chrono::steady_clock::time_point m_lastTick;
+    std::chrono::steady_clock::time_point m_previousTick;
 };
 
 } // namespace turmericline
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace turmericline {
 
@@ -61,46 +62,39 @@
         }
     });
     if (!m_request.isIdempotent && !m_request.key.empty()) {
-        m_ticket = parseTicket(m_request.key);
-    }
-    if (m_ticket) {
-        attemptTicket();
+        m_keyed.emplace(m_request.key, m_context.arrival());
+        perform(m_keyed->start());
     } else {
         attempt();
     }
 }
 
-void EntryCall::attemptTicket()
-{
-    const auto peer = m_context.agents.find(m_ticket->server);
-    if (!peer) {
-        giveUp({409,
-                "ticket_not_valid",
-                "the backend server of this ticket is not in the configuration any more",
-                Verdict::MayHaveRun,
-                {}});
-        return;
-    }
-    send(peer);
-}
-
-void EntryCall::attempt()
+std::shared_ptr<AgentPeer> EntryCall::chooseServer() const
 {
     const auto service = m_context.document.services.find(m_request.service);
-    const auto found = m_context.agents.candidates(m_context.document, service, m_tried);
-    if (found.empty()) {
-        onNoServer();
-        return;
+    if (!service.isValid()) {
+        return nullptr;
     }
+    const auto found = m_context.agents.candidates(m_context.document, service, m_tried);
     const auto now = Clock::now();
     const auto cost = [&](const std::shared_ptr<AgentPeer> &peer) {
         const auto avoided = now < peer->avoidUntil ? 1'000'000U : 0U;
         const auto remote = peer->domain != m_context.settings.domain ? 1U : 0U;
         return avoided + 2 * peer->inFlight + 4 * peer->reportedQueued + remote;
     };
-    send(*std::min_element(found.begin(), found.end(), [&](const auto &a, const auto &b) {
+    const auto best = std::min_element(found.begin(), found.end(), [&](const auto &a, const auto &b) {
         return cost(a) < cost(b);
-    }));
+    });
+    return best == found.end() ? nullptr : *best;
+}
+
+void EntryCall::attempt()
+{
+    if (const auto peer = chooseServer()) {
+        send(peer);
+    } else {
+        onNoServer();
+    }
 }
 
 H2Request EntryCall::wireRequest() const
@@ -121,6 +115,11 @@
     add(wire::path, m_request.path);
     add(wire::fingerprint, m_request.fingerprint);
     add(wire::budgetMs, std::to_string(std::max<std::int64_t>(1, left.count())));
+    add(wire::cost, std::to_string(m_request.expectedTokens()));
+    if (const auto plan = m_context.document.plans.find(m_request.plan); plan.isValid()) {
+        constexpr double weightUnit = 1'000;
+        add(wire::weight, std::to_string(std::llround(m_context.document.plans[plan].weight * weightUnit)));
+    }
     add(wire::idempotent, m_request.isIdempotent ? "1" : "0");
     if (m_ticket) {
         add(wire::key, formatTicket(*m_ticket));
@@ -240,8 +239,11 @@
         peer->succeed();
     } else {
         peer->fail(Clock::now());
-        // Another copy of a ticket may have reached its agent, whatever became of this one.
-        verdict = result.sent || m_ticket ? Verdict::MayHaveRun : Verdict::NotRun;
+        verdict = result.sent ? Verdict::MayHaveRun : Verdict::NotRun;
+    }
+    if (m_keyed) {
+        onKeyedDone(result, verdict, reason);
+        return;
     }
     if (verdict != Verdict::NotRun) {
         m_everSent = true;
@@ -258,7 +260,7 @@
 bool EntryCall::mayRetry(Verdict verdict) const
 {
     const bool isAllowed = verdict == Verdict::NotRun || m_request.isIdempotent;
-    return isAllowed && !m_ticket && m_attempts < maxAttempts && Clock::now() < m_deadline;
+    return isAllowed && m_attempts < maxAttempts && Clock::now() < m_deadline;
 }
 
 void EntryCall::onAttemptFailed(Verdict verdict, const std::string &reason)
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -2,6 +2,7 @@
 
 #include "agent_pool.h"
 #include "caller_request.h"
+#include "keyed_call.h"
 #include "metrics.h"
 #include "ticket_type.h"
 #include "token_relay.h"
@@ -26,6 +27,8 @@
     const Document &document;
     AgentPool &agents;
     Metrics &metrics;
+    /** A moment before any request that is read now can have arrived, also if this process was frozen. */
+    std::function<std::chrono::steady_clock::time_point()> arrival;
     std::function<void(const EntryCall &)> onDone;
 };
 
@@ -43,7 +46,7 @@
 
 private:
     void attempt();
-    void attemptTicket();
+    std::shared_ptr<AgentPeer> chooseServer() const;
     void send(const std::shared_ptr<AgentPeer> &peer);
     H2Request wireRequest() const;
     void onHead(int status, const HttpHeaders &headers);
@@ -56,6 +59,14 @@
     void onDeadline();
     void onNoServer();
 
+    // Keyed non-idempotent calls; see KeyedCall.
+    void perform(const KeyedStep &step);
+    void sendBind(bool isSeal);
+    void proposeAndBind(const std::shared_ptr<AgentPeer> &owner);
+    void postBind(const std::shared_ptr<AgentPeer> &owner, const std::string &proposed);
+    void sendSeal(const Ticket &ticket);
+    void onKeyedDone(const H2Result &result, Verdict verdict, const std::string &reason);
+
     void answer();
     void finishStream(bool complete, Verdict verdict, const std::string &reason);
     void giveUp(const Refusal &refusal);
@@ -68,7 +79,8 @@
     Clock::time_point m_deadline;
     asio::steady_timer m_timer;
 
-    std::optional<Ticket> m_ticket; ///< Set for a keyed non-idempotent call: the only agent that may run it.
+    std::optional<KeyedCall> m_keyed; ///< Set for a non-idempotent call with a key.
+    std::optional<Ticket> m_ticket; ///< Of the keyed attempt in flight.
     std::uint32_t m_attempts = 0;
     std::vector<std::string> m_tried;
     std::shared_ptr<AgentPeer> m_peer; ///< Of the attempt in flight.
--- a/src/key_binder_type.h
+++ b/src/key_binder_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "name_table.h"
 #include "ticket_type.h"
 #include "verdict_type.h"
 
@@ -20,6 +21,16 @@
     Invalid, ///< The proposed ticket cannot be read.
 };
 
+inline constexpr std::array<NamedValue<Binding>, 7> bindingNames{{
+    {Binding::Bound, "bound"},
+    {Binding::Sealed, "sealed"},
+    {Binding::TooRecent, "too-recent"},
+    {Binding::Stale, "stale"},
+    {Binding::NotOwner, "not-owner"},
+    {Binding::Full, "full"},
+    {Binding::Invalid, "invalid"},
+}};
+
 struct BindRequest
 {
     std::string_view workspace;
--- a/src/ticket_issuer.cpp
+++ b/src/ticket_issuer.cpp
@@ -43,23 +43,15 @@
     }
     const auto peer = peers.back();
     peers.pop_back();
-    auto heard = std::make_shared<bool>(false);
-    peer->client->start(
-        {"GET", "/hello", {}, {}},
-        {[peer, heard](int status, const HttpHeaders &headers) {
-             *heard = status == 200;
-             peer->hear(headers, AgentPeer::Clock::now());
-         },
-         {},
-         [this, peer, peers = std::move(peers), lifetime, responder, heard](const H2Result &) {
-             if (!*heard || !peer->heardAge) {
-                 ask(peers, lifetime, responder);
-                 return;
-             }
-             const auto ticket = makeTicket(peer->name, peer->heardAge->incarnation, peer->heardAge->tick);
-             const nlohmann::json body{{"ticket", formatTicket(ticket)}, {"expires_in_s", lifetime.count()}};
-             responder->reply(200, {{"Content-Type", "application/json"}, {"X-Verdict", "run"}}, body.dump());
-         }});
+    AgentPool::refreshAge(peer, [this, peer, peers = std::move(peers), lifetime, responder](bool isKnown) {
+        if (!isKnown) {
+            ask(peers, lifetime, responder);
+            return;
+        }
+        const auto ticket = makeTicket(peer->name, peer->heardAge->incarnation, peer->heardAge->tick);
+        const nlohmann::json body{{"ticket", formatTicket(ticket)}, {"expires_in_s", lifetime.count()}};
+        responder->reply(200, {{"Content-Type", "application/json"}, {"X-Verdict", "run"}}, body.dump());
+    });
 }
 
 } // namespace turmericline
--- a/src/tool_main.cpp
+++ b/src/tool_main.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 #include "document_tool.h"
+#include "load_tool.h"
 #include "status_tool.h"
 
 #include <array>
@@ -24,11 +25,12 @@
     return run({argv + 1, argv + argc}, out, err);
 }
 
-constexpr std::array<CommandRow, 3> commands{{
+constexpr std::array<CommandRow, 4> commands{{
     {"check",
      withArguments<runCheck>,
      "check DOCUMENT: report every fault of a configuration document with its JSON path"},
     {"schema", withArguments<runSchema>, "schema: print the JSON Schema of the configuration document"},
+    {"load", runLoad, "load --target URL...: open-loop load with latency by class and verdict (see load --help)"},
     {"status", runStatus, "status --entry IP:PORT: print what an entry believes (operators' port)"},
 }};
 
