Make the keyed-call model reach the ends of W and of the bind delay

Cause: a trial with KeyBinder::window() returning W instead of W + maxDelay passed all 8 cases, as the model's time steps rarely led to just before the end of W. With steps of 118 s and 14 s the same trial fails after 445 cases ("a call was run twice"), so a binding window of exactly W is refuted.

Trial: ledger entries kept for W / 2 only also fail ("a call was run twice").

Figures now (build/tests/holds_at_most_once_test): 3000 cases, 82588 calls, 7898 runs, 6653 not-run, 10293 run, 14419 may-have-run, 0 violations. Switched-off mechanisms found after 80 (early eviction), 67 (no window after start), 3965 (no window after a move), 198 (late binds count), 268 (two agents) and 86 (refusal without seal) cases. The cost of a restart is unchanged: 0 or 3 of 3000 with tickets, 481 with plain keys.

--- a/tests/keyed_property.h
+++ b/tests/keyed_property.h
@@ -113,7 +113,8 @@
 
     void advance(KeyedWorld &world) const
     {
-        constexpr std::array<int, 8> seconds{1, 1, 5, 10, 20, 70, 125, 260};
+        // 118 s and 14 s lead to just before the ends of W and of the longest delay of a bind.
+        constexpr std::array<int, 8> seconds{1, 5, 10, 14, 70, 118, 125, 260};
         world.advance(std::chrono::seconds(seconds[a % seconds.size()]));
     }
 
