--- /dev/null
+++ b/src/suspect.cpp
@@ -0,0 +1,290 @@
+#include "suspect.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace turmericline {
+
+namespace {
+
+struct StateDeleter
+{
+    void operator()(XXH3_state_t *state) const
+    {
+        XXH3_freeState(state);
+    }
+};
+
+/** The length goes first, so that moving a boundary between two parts changes the hash. */
+void addPart(XXH3_state_t *state, std::string_view part)
+{
+    const std::uint64_t n = part.size();
+    XXH3_128bits_update(state, &n, sizeof n);
+    XXH3_128bits_update(state, part.data(), part.size());
+}
+
+std::uint64_t rank(const Fingerprint &fingerprint, std::string_view server)
+{
+    return XXH3_64bits_withSeed(server.data(), server.size(), fingerprint.high ^ fingerprint.low);
+}
+
+} // namespace
+
+Fingerprint fingerprintOf(std::string_view workspace, std::string_view service, std::string_view body)
+{
+    const std::unique_ptr<XXH3_state_t, StateDeleter> state(XXH3_createState());
+    XXH3_128bits_reset(state.get());
+    for (const auto part : {workspace, service, body}) {
+        addPart(state.get(), part);
+    }
+    const auto digest = XXH3_128bits_digest(state.get());
+    return {digest.high64, digest.low64};
+}
+
+SuspectTable::SuspectTable(SuspectSettings settings)
+    : m_settings(settings)
+{
+}
+
+void SuspectTable::recordCrash(const std::vector<Fingerprint> &inFlight,
+                               std::string_view server,
+                               std::uint64_t incarnation,
+                               std::string_view domain,
+                               Age now)
+{
+    for (const auto &it : inFlight) {
+        merge({it, std::string(server), incarnation, std::string(domain), Age::zero(), false}, now);
+    }
+}
+
+void SuspectTable::merge(const CrashReport &report, Age now)
+{
+    auto it = m_suspects.find(report.fingerprint);
+    if (it == m_suspects.end()) {
+        // A lone report of this age has no effect any more, and would only take up room.
+        if (report.age >= m_settings.hold || !makeRoom(now)) {
+            return;
+        }
+        it = m_suspects.emplace(report.fingerprint, Crashes{}).first;
+    }
+    insert(it->second, {report.server, report.incarnation, report.domain, now - report.age, report.isCleared, 0}, now);
+}
+
+void SuspectTable::insert(Crashes &crashes, Crash crash, Age now) const
+{
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const Crash &it) {
+        return it.server == crash.server && it.incarnation == crash.incarnation;
+    });
+    if (known != crashes.end()) {
+        mergeInto(*known, crash);
+        return;
+    }
+    if (crashes.size() >= m_settings.maxReportsPerFingerprint) {
+        const auto active = activeCrashes(crashes, now);
+        const auto useless = std::find_if(crashes.begin(), crashes.end(), [&](const Crash &it) {
+            return std::find(active.begin(), active.end(), &it) == active.end();
+        });
+        if (useless == crashes.end()) {
+            return;
+        }
+        crashes.erase(useless);
+    }
+    crashes.push_back(std::move(crash));
+}
+
+void SuspectTable::mergeInto(Crash &known, const Crash &news)
+{
+    // Travel makes a crash look later than it was, so the earliest estimate is the best one. It also keeps reports
+    // that go round between processes from prolonging a suspicion.
+    known.when = std::min(known.when, news.when);
+    if (news.isCleared && !known.isCleared) {
+        known.isCleared = true;
+        known.sends = 0;
+    }
+}
+
+std::vector<const SuspectTable::Crash *> SuspectTable::activeCrashes(const Crashes &crashes, Age now) const
+{
+    std::vector<const Crash *> found;
+    for (const auto &it : crashes) {
+        if (!it.isCleared) {
+            found.push_back(&it);
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const Crash *a, const Crash *b) {
+        return a->when > b->when;
+    });
+    // Crashes count together as long as each follows within the hold time of the one before.
+    auto last = now;
+    const auto end = std::find_if(found.begin(), found.end(), [&](const Crash *it) {
+        const bool isApart = last - it->when >= m_settings.hold;
+        last = it->when;
+        return isApart;
+    });
+    found.erase(end, found.end());
+    return found;
+}
+
+SuspectDecision SuspectTable::decide(const Fingerprint &fingerprint, Age now) const
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end()) {
+        return {};
+    }
+    const auto active = activeCrashes(it->second, now);
+    if (active.empty()) {
+        return {};
+    }
+    std::map<std::string_view, std::size_t> perDomain;
+    std::size_t most = 0;
+    for (const auto *crash : active) {
+        most = std::max(most, ++perDomain[crash->domain]);
+    }
+    if (most >= m_settings.domainLimit || active.size() >= m_settings.totalLimit) {
+        return {SuspectAction::Refuse, active.front()->when + m_settings.hold - now};
+    }
+    return {SuspectAction::RunAlone, {}};
+}
+
+void SuspectTable::complete(const Fingerprint &fingerprint)
+{
+    if (const auto it = m_suspects.find(fingerprint); it != m_suspects.end()) {
+        // The cleared reports are kept for a while: copies of them still arrive, and others have yet to hear of it.
+        for (auto &crash : it->second) {
+            crash.sends = crash.isCleared ? crash.sends : 0;
+            crash.isCleared = true;
+        }
+    }
+}
+
+bool SuspectTable::isForwarded(const Crashes &crashes, Age now) const
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&](const Crash &it) {
+        return now - it.when < m_settings.hold;
+    });
+}
+
+std::vector<CrashReport> SuspectTable::reportsOf(const Fingerprint &fingerprint, Age now) const
+{
+    std::vector<CrashReport> reports;
+    const auto it = m_suspects.find(fingerprint);
+    if (it != m_suspects.end() && isForwarded(it->second, now)) {
+        for (const auto &crash : it->second) {
+            reports.push_back(
+                {fingerprint, crash.server, crash.incarnation, crash.domain, now - crash.when, crash.isCleared});
+        }
+    }
+    return reports;
+}
+
+std::vector<CrashReport> SuspectTable::nextReports(std::size_t n, Age now)
+{
+    std::vector<std::pair<const Fingerprint *, Crash *>> choices;
+    for (auto &[fingerprint, crashes] : m_suspects) {
+        if (isForwarded(crashes, now)) {
+            for (auto &it : crashes) {
+                choices.emplace_back(&fingerprint, &it);
+            }
+        }
+    }
+    const auto middle = choices.begin() + static_cast<std::ptrdiff_t>(std::min(n, choices.size()));
+    std::partial_sort(choices.begin(), middle, choices.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.second->sends, b.second->when) < std::tie(b.second->sends, a.second->when);
+    });
+    choices.erase(middle, choices.end());
+    std::vector<CrashReport> reports;
+    for (const auto &[fingerprint, crash] : choices) {
+        ++crash->sends;
+        reports.push_back(
+            {*fingerprint, crash->server, crash->incarnation, crash->domain, now - crash->when, crash->isCleared});
+    }
+    return reports;
+}
+
+void SuspectTable::expire(Age now)
+{
+    // Twice the hold time, as a copy of a report that was underway for long must still meet the original here.
+    std::erase_if(m_suspects, [&](const auto &suspect) {
+        return std::all_of(suspect.second.begin(), suspect.second.end(), [&](const Crash &it) {
+            return now - it.when >= 2 * m_settings.hold;
+        });
+    });
+}
+
+bool SuspectTable::makeRoom(Age now)
+{
+    if (m_suspects.size() < m_settings.maxFingerprints) {
+        return true;
+    }
+    expire(now);
+    if (m_suspects.size() < m_settings.maxFingerprints) {
+        return true;
+    }
+    // A fingerprint with several crashes is the likeliest culprit and stays; of the others the oldest goes.
+    auto victim = m_suspects.end();
+    std::pair<std::size_t, Age> least;
+    for (auto it = m_suspects.begin(); it != m_suspects.end(); ++it) {
+        const auto active = activeCrashes(it->second, now);
+        const std::pair value{active.size(), active.empty() ? Age::zero() : active.front()->when};
+        if (active.size() <= 1 && (victim == m_suspects.end() || value < least)) {
+            victim = it;
+            least = value;
+        }
+    }
+    if (victim == m_suspects.end()) {
+        return false;
+    }
+    m_suspects.erase(victim);
+    return true;
+}
+
+std::size_t SuspectTable::size() const
+{
+    return m_suspects.size();
+}
+
+std::size_t isolationTarget(const Fingerprint &fingerprint, const std::vector<std::string_view> &servers)
+{
+    const auto it = std::max_element(servers.begin(), servers.end(), [&](std::string_view a, std::string_view b) {
+        return std::pair(rank(fingerprint, a), a) < std::pair(rank(fingerprint, b), b);
+    });
+    return static_cast<std::size_t>(it - servers.begin());
+}
+
+bool IsolationGate::tryStart(const Fingerprint &fingerprint, bool isAlone)
+{
+    if (isAlone && std::find(m_waiting.begin(), m_waiting.end(), fingerprint) == m_waiting.end()) {
+        m_waiting.push_back(fingerprint);
+    }
+    const bool isNext = isAlone ? m_inFlight.empty() && m_waiting.front() == fingerprint : m_waiting.empty();
+    if (m_isAlone || !isNext) {
+        return false;
+    }
+    cancelWait(fingerprint);
+    m_inFlight.push_back(fingerprint);
+    m_isAlone = isAlone;
+    return true;
+}
+
+void IsolationGate::cancelWait(const Fingerprint &fingerprint)
+{
+    std::erase(m_waiting, fingerprint);
+}
+
+void IsolationGate::end(const Fingerprint &fingerprint)
+{
+    const auto it = std::find(m_inFlight.begin(), m_inFlight.end(), fingerprint);
+    if (it != m_inFlight.end()) {
+        m_inFlight.erase(it);
+        m_isAlone = m_isAlone && !m_inFlight.empty();
+    }
+}
+
+const std::vector<Fingerprint> &IsolationGate::inFlight() const
+{
+    return m_inFlight;
+}
+
+} // namespace turmericline
