Test that a configuration never goes back and converges

Cause: invariant I7 has to hold under a slow, stale or absent service, cut domains, duplicated, delayed, replayed and damaged messages, untrue announcements, restarts, racing consoles and documents that some or all programs reject. holds.configuration runs up to 7 instances in 3 domains with rapidcheck's state commands, 500 cases of up to 100 commands. After every command: no (version, digest) in force went down within a life, and the digest of the text in force is one that the console accepted. After healing: all reach the highest document within 30 rounds (a peer that failed to deliver is asked again after 16 s at most), and a new document within 5.

--- a/src/config_store_func.h
+++ b/src/config_store_func.h
@@ -76,7 +76,7 @@
 ApplyOutcome BasicConfigStore<Checks>::refuse(std::string reason)
 {
     ++m_counters.refused;
-    return {ApplyStatus::Refused, std::move(reason)};
+    return {ApplyStatus::Refused, std::move(reason), 0};
 }
 
 template<typename Checks>
@@ -96,7 +96,9 @@
     }
     candidate.ref.digest = documentDigest(canonical);
     candidate.text = std::make_shared<const std::string>(std::move(canonical));
-    return testWhole(candidate);
+    auto outcome = testWhole(candidate);
+    outcome.version = candidate.ref.version;
+    return outcome;
 }
 
 /** Tests a document that came without a patch, and makes one for the peers. */
@@ -123,7 +125,7 @@
     if constexpr (Checks::ordering) {
         // Before the costly parsing: most copies that arrive are in force already.
         if (auto reason = testOrder(m_inForce, candidate.ref)) {
-            return {ApplyStatus::Unchanged, std::move(*reason)};
+            return {ApplyStatus::Unchanged, std::move(*reason), 0};
         }
     }
     auto parse = m_parser(candidate.json);
@@ -142,7 +144,7 @@
     if (m_raw && m_raw->ref <= m_inForce.ref) {
         m_raw.reset();
     }
-    return {ApplyStatus::Applied, {}};
+    return {ApplyStatus::Applied, {}, 0};
 }
 
 /** Keeps at most one rejected document, the newest, for peers that run a version of the program that accepts it. */
@@ -150,11 +152,11 @@
 ApplyOutcome BasicConfigStore<Checks>::reject(const Candidate &candidate, std::string reason)
 {
     if (candidate.ref <= newest()) {
-        return {ApplyStatus::Unchanged, std::move(reason)};
+        return {ApplyStatus::Unchanged, std::move(reason), 0};
     }
     ++m_counters.rejected;
     m_raw = Raw{candidate.ref, candidate.text};
-    return {ApplyStatus::KeptRaw, std::move(reason)};
+    return {ApplyStatus::KeptRaw, std::move(reason), 0};
 }
 
 template<typename Checks>
@@ -377,7 +379,7 @@
 ApplyOutcome BasicConfigStore<Checks>::takeUpdate(std::string_view bytes, const DocumentAnnouncement &peer)
 {
     if (bytes.empty()) {
-        return {ApplyStatus::Unchanged, "the peer has nothing new"};
+        return {ApplyStatus::Unchanged, "the peer has nothing new", 0};
     }
     auto read = readJson(bytes, detail::maxUpdateBytes);
     if (!read.value) {
--- a/src/config_store_type.h
+++ b/src/config_store_type.h
@@ -59,6 +59,8 @@
 {
     ApplyStatus status = ApplyStatus::Unchanged;
     std::string reason;
+    /** Version of the document that was offered, or 0; one below that in force means that the service is stale. */
+    std::uint64_t version = 0;
 };
 
 struct ConfigStoreLimits
--- /dev/null
+++ b/tests/holds_configuration_test.cpp
@@ -0,0 +1,198 @@
+#include "config_world.h"
+#include "fuzz_property.h"
+
+#include <rapidcheck/state.h>
+
+using namespace turmericline;
+
+namespace {
+
+struct NoOrdering : ApplyChecks
+{
+    static constexpr bool ordering = false;
+};
+
+struct NoDigest : ApplyChecks
+{
+    static constexpr bool digest = false;
+};
+
+enum class Operation {
+    Round,
+    Publish,
+    Service,
+    Cut,
+    OneWayCut,
+    Join,
+    Restart,
+    Spoil,
+};
+
+constexpr std::array<NamedValue<Operation>, 8> operationNames{{
+    {Operation::Round, "round"},
+    {Operation::Publish, "publish"},
+    {Operation::Service, "service"},
+    {Operation::Cut, "cut"},
+    {Operation::OneWayCut, "one-way cut"},
+    {Operation::Join, "join"},
+    {Operation::Restart, "restart"},
+    {Operation::Spoil, "spoil"},
+}};
+
+/** The oracle keeps no model of its own: what it checks is a property of the world. */
+struct NoModel
+{
+};
+
+template<typename Checks>
+class WorldCommand : public rc::state::Command<NoModel, ConfigWorld<Checks>>
+{
+public:
+    WorldCommand()
+        : m_operation(*rc::gen::weightedElement<Operation>({{10, Operation::Round},
+                                                            {4, Operation::Publish},
+                                                            {2, Operation::Service},
+                                                            {1, Operation::Cut},
+                                                            {1, Operation::OneWayCut},
+                                                            {2, Operation::Join},
+                                                            {1, Operation::Restart},
+                                                            {6, Operation::Spoil}}))
+        , m_kind(*rc::gen::inRange(0, 7))
+        , m_a(*rc::gen::inRange(0, worldDomains))
+        , m_b(*rc::gen::inRange(0, worldDomains))
+        , m_salt(*rc::gen::inRange(0, 100000))
+    {
+    }
+
+    void run(const NoModel & /*model*/, ConfigWorld<Checks> &world) const override
+    {
+        switch (m_operation) {
+        case Operation::Round:
+            world.round();
+            break;
+        case Operation::Publish:
+            world.publish(static_cast<PublishKind>(m_kind % 5), m_salt % 100);
+            break;
+        case Operation::Service:
+            world.setService(static_cast<ServiceMode>(m_kind % 4), m_a, m_salt % 3 != 0);
+            break;
+        case Operation::Cut:
+            world.cut(m_b, m_a, true);
+            [[fallthrough]];
+        case Operation::OneWayCut:
+            world.cut(m_a, m_b, true);
+            break;
+        case Operation::Join:
+            world.cut(m_a, m_b, false);
+            world.cut(m_b, m_a, false);
+            break;
+        case Operation::Restart:
+            world.restart(m_kind);
+            break;
+        case Operation::Spoil:
+            world.spoil(static_cast<MessageFault>(m_kind), static_cast<unsigned>(m_salt));
+            break;
+        }
+        RC_ASSERT(world.violation() == std::string());
+    }
+
+    void show(std::ostream &out) const override
+    {
+        out << nameOf(operationNames, m_operation) << '(' << m_kind << ',' << m_a << ',' << m_b << ',' << m_salt << ')';
+    }
+
+private:
+    Operation m_operation;
+    int m_kind;
+    int m_a;
+    int m_b;
+    int m_salt;
+};
+
+template<typename Checks>
+void runRounds(ConfigWorld<Checks> &world, int rounds)
+{
+    for (int i = 0; i < rounds; ++i) {
+        world.round();
+        RC_ASSERT(world.violation() == std::string());
+    }
+}
+
+/** A peer that could not deliver is asked again after 16 s at most; the rest is a few rounds of gossip. */
+constexpr int roundsAfterFaults = 30;
+/** Without faults, a new document needs a read and at most one round for each step through 7 instances. */
+constexpr int roundsWithoutFaults = 5;
+
+template<typename Checks>
+void runWorld(ConfigWorld<Checks> &world)
+{
+    rc::state::check(NoModel{}, world, [](const NoModel &) {
+        return rc::gen::exec([] {
+            return std::shared_ptr<const rc::state::Command<NoModel, ConfigWorld<Checks>>>(
+                std::make_shared<WorldCommand<Checks>>());
+        });
+    });
+}
+
+/** No instance goes back, and none has a document that the console did not accept. */
+template<typename Checks>
+void checkSafety()
+{
+    ConfigWorld<Checks> world(*rc::gen::inRange(1, 8));
+    runWorld(world);
+}
+
+/** Safety, and once the faults have ended, every instance reaches the highest document. */
+void checkWorld()
+{
+    ConfigWorld<ApplyChecks> world(*rc::gen::inRange(1, 8));
+    runWorld(world);
+    world.heal();
+    runRounds(world, roundsAfterFaults);
+    RC_ASSERT(world.missing(world.highest()) == std::string());
+    world.publish(PublishKind::Valid, 7);
+    runRounds(world, roundsWithoutFaults);
+    RC_ASSERT(world.isInForceEverywhere(world.version()));
+}
+
+} // namespace
+
+/**
+ * Guards invariant I7: an accepted document comes into force everywhere and is never replaced by an older one, whatever
+ * the configuration service, the network and single instances do.
+ */
+class ConfigurationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigurationTest);
+    CPPUNIT_TEST(neverGoesBackAndConverges);
+    CPPUNIT_TEST(needsTheOrderOfVersions);
+    CPPUNIT_TEST(needsTheDigest);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** The oracle must find the fault with the check switched off, or it would prove nothing. */
+    template<typename Checks>
+    void expectFault(const std::string &name, const std::string &fault)
+    {
+        const auto text = counterexample(name, fuzzParams(100, 500), checkSafety<Checks>);
+        std::cout << text << '\n';
+        CPPUNIT_ASSERT_MESSAGE(name + ": fault not found", text.find(fault) != std::string::npos);
+    }
+
+public:
+    void neverGoesBackAndConverges()
+    {
+        expectProperty("configuration", fuzzParams(100, 500), checkWorld);
+    }
+
+    void needsTheOrderOfVersions()
+    {
+        expectFault<NoOrdering>("configuration without the order of versions", " follows version ");
+    }
+
+    void needsTheDigest()
+    {
+        expectFault<NoDigest>("configuration without the digest", "the console never accepted");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationTest);
