Measure how a configuration spreads and what it costs

Cause: invariant I7 allows 6 s at 1,900 nodes; the design page gossips every second with the next in the ring and one of another domain by rotation. The last uninformed nodes take long because nobody tells them: if the answer to a gossip message carries the receiver's version, they ask for themselves. Conclusion: the other-domain peer should be random, the answer should carry (version, digest), and a node that puts a new version in force should tell its ring neighbour and a random node at once (2 extra messages per node and change). Ruled out: a first figure of 416 KB per patch came from this program, which inserted broken rows.

--- /dev/null
+++ b/bench/bench_config.cpp
@@ -0,0 +1,315 @@
+#include "config_store.h"
+#include "document_sample.h"
+
+#include <ctime>
+#include <iostream>
+#include <queue>
+#include <random>
+
+using namespace turmericline;
+
+namespace {
+
+constexpr double changesPerDay = 5500;
+constexpr double changesPerSecond = changesPerDay / 86400;
+
+/** How a node chooses whom it tells of its version. */
+struct Spread
+{
+    std::string_view name;
+    bool ring; ///< One of the two peers is the next in the own domain; otherwise a random one there.
+    bool rotation; ///< The other peer comes by rotation over domains and places; otherwise it is random.
+    bool answer; ///< The answer to a gossip message carries the version of the receiver.
+    int push; ///< Nodes that are told at once when a version comes into force.
+};
+
+constexpr std::array<Spread, 7> spreads{{
+    {"ring + rotation", true, true, false, 0},
+    {"ring + random", true, false, false, 0},
+    {"random + random", false, false, false, 0},
+    {"ring + random, answers", true, false, true, 0},
+    {"random + random, answers", false, false, true, 0},
+    {"ring + random, push to 2", true, false, false, 2},
+    {"ring + random, answers, push to 2", true, false, true, 2},
+}};
+
+/** Delays in seconds; the time to apply a patch comes from `bench_config store`. */
+constexpr double oneWay = 0.0015;
+constexpr double applyTime = 0.05;
+constexpr double readTime = 0.005;
+constexpr double giveUp = 60;
+
+/** Simulation of one version that spreads over a fleet. */
+class SpreadSimulation
+{
+public:
+    SpreadSimulation(const Spread &spread, int nodes, int domains, int reachableDomains, unsigned seed)
+        : m_spread(spread)
+        , m_nodes(nodes)
+        , m_domains(domains)
+        , m_random(seed)
+        , m_inForce(nodes, giveUp)
+    {
+        std::uniform_real_distribution<double> phase(0, 1);
+        for (int i = 0; i < nodes; ++i) {
+            m_events.push({phase(m_random), i, Kind::Tick});
+        }
+        // Two watchers in each domain that reaches the service; which ones does not matter for the ring.
+        for (int domain = 0; domain < reachableDomains; ++domain) {
+            for (int i = 0; i < 2; ++i) {
+                m_events.push({readTime + applyTime, domain + domains * random(sizeOf(domain)), Kind::InForce});
+            }
+        }
+    }
+
+    /** Time until the version is in force on all nodes. */
+    double run()
+    {
+        while (m_count < m_nodes && !m_events.empty() && m_events.top().time < giveUp) {
+            const auto event = m_events.top();
+            m_events.pop();
+            handle(event);
+        }
+        return *std::max_element(m_inForce.begin(), m_inForce.end());
+    }
+
+    double messages() const
+    {
+        return static_cast<double>(m_pushes) / m_nodes;
+    }
+
+private:
+    enum class Kind {
+        Tick,
+        InForce,
+    };
+
+    struct Event
+    {
+        double time;
+        int node;
+        Kind kind;
+
+        bool operator>(const Event &other) const
+        {
+            return time > other.time;
+        }
+    };
+
+    const Spread &m_spread;
+    int m_nodes;
+    int m_domains;
+    std::mt19937 m_random;
+    std::vector<double> m_inForce; ///< When the version came into force on each node.
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    int m_count = 0;
+    int m_pushes = 0;
+
+    int random(int n)
+    {
+        return std::uniform_int_distribution<int>(0, n - 1)(m_random);
+    }
+
+    int sizeOf(int domain) const
+    {
+        return (m_nodes - domain + m_domains - 1) / m_domains;
+    }
+
+    /** Node @p place of a domain; nodes are dealt to the domains in turn. */
+    int nodeAt(int domain, int place) const
+    {
+        return domain + m_domains * (place % sizeOf(domain));
+    }
+
+    int ownPeer(int node)
+    {
+        const int domain = node % m_domains;
+        return m_spread.ring ? nodeAt(domain, node / m_domains + 1) : nodeAt(domain, random(sizeOf(domain)));
+    }
+
+    int otherPeer(int node, double time)
+    {
+        const int tick = static_cast<int>(time);
+        if (m_spread.rotation) {
+            const int domain = (node + 1 + tick % (m_domains - 1)) % m_domains;
+            return nodeAt(domain, node / m_domains + tick);
+        }
+        return nodeAt((node + 1 + random(m_domains - 1)) % m_domains, random(m_nodes));
+    }
+
+    bool has(int node, double time) const
+    {
+        return m_inForce[node] <= time;
+    }
+
+    /** A node that has the version tells another one, which fetches the patch. */
+    void tell(int from, int to, double time)
+    {
+        if (has(from, time) && !has(to, time + oneWay)) {
+            m_events.push({time + 3 * oneWay + applyTime, to, Kind::InForce});
+        }
+    }
+
+    void gossip(int from, int to, double time)
+    {
+        tell(from, to, time);
+        if (m_spread.answer) {
+            tell(to, from, time + oneWay);
+        }
+    }
+
+    void handle(const Event &event)
+    {
+        if (event.kind == Kind::Tick) {
+            gossip(event.node, ownPeer(event.node), event.time);
+            gossip(event.node, otherPeer(event.node, event.time), event.time);
+            m_events.push({event.time + 1, event.node, Kind::Tick});
+        } else if (!has(event.node, event.time)) {
+            m_inForce[event.node] = event.time;
+            ++m_count;
+            for (int i = 0; i < m_spread.push; ++i, ++m_pushes) {
+                const bool isOwn = i % 2 == 0;
+                tell(event.node, isOwn ? ownPeer(event.node) : otherPeer(event.node, event.time), event.time);
+            }
+        }
+    }
+};
+
+void measureSpread()
+{
+    constexpr int seeds = 40;
+    std::cout << "time from publication to in force on all nodes, median and maximum of " << seeds << " runs\n";
+    for (const auto &spread : spreads) {
+        for (const int nodes : {9, 100, 300, 1900}) {
+            const int domains = nodes == 9 ? 3 : 13;
+            for (const int reachable : {domains, 1}) {
+                std::vector<double> times;
+                double pushes = 0;
+                for (unsigned seed = 0; seed < seeds; ++seed) {
+                    SpreadSimulation simulation(spread, nodes, domains, reachable, seed);
+                    times.push_back(simulation.run());
+                    pushes += simulation.messages() / seeds;
+                }
+                std::sort(times.begin(), times.end());
+                std::cout << fmt::format(
+                    "{:<34} {:>5} nodes, service in {:>2} of {:>2} domains: {:>6.2f} s {:>6.2f} s, "
+                    "{:.1f} extra messages per node\n",
+                    spread.name,
+                    nodes,
+                    reachable,
+                    domains,
+                    times[seeds / 2],
+                    times.back(),
+                    pushes);
+            }
+        }
+    }
+}
+
+double cpuMilliseconds()
+{
+    return 1000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+/** Average CPU time of one call. */
+template<typename F>
+double timed(int n, F &&f)
+{
+    const double start = cpuMilliseconds();
+    for (int i = 0; i < n; ++i) {
+        f(i);
+    }
+    return (cpuMilliseconds() - start) / n;
+}
+
+/** A changed weight, a new workspace in the middle, a removed one, or a new key, in turn. */
+void change(nlohmann::json &document, int i)
+{
+    document["version"] = document["version"].get<int>() + 1;
+    auto &workspaces = document["workspaces"];
+    const auto at = static_cast<std::size_t>(i) * 997 % workspaces.size();
+    nlohmann::json row;
+    switch (i % 4) {
+    case 0:
+        document["plans"][0]["weight"] = 1 + i;
+        break;
+    case 1:
+        // As a named value: a list in braces would be inserted as three elements.
+        row = {{"name", fmt::format("new{:04}", i)}, {"keys", {keyDigest(fmt::format("new{}", i))}}, {"plan", "p1"}};
+        workspaces.insert(workspaces.begin() + static_cast<long>(at), row);
+        break;
+    case 2:
+        workspaces.erase(at);
+        break;
+    default:
+        workspaces[at]["keys"] = {keyDigest(fmt::format("key{}", i))};
+    }
+}
+
+void measureStore()
+{
+    constexpr int changes = 40;
+    const auto now = ConfigStore::Clock::time_point{};
+    // 14,000 workspaces must fit beside the rest: 28 models and 60 of the 7,100 backend servers.
+    auto document = sampleDocument(1, {28, 2, 50, 14000});
+    std::vector<std::string> texts{document.dump()};
+    for (int i = 0; i < changes; ++i) {
+        change(document, i);
+        texts.push_back(document.dump());
+    }
+    ConfigStore watcher;
+    ConfigStore peer;
+    std::cout << "document: " << texts[0].size() << " bytes, canonical "
+              << (watcher.offer(texts[0]).status == ApplyStatus::Applied ? watcher.inForce().text->size() : 0) << '\n';
+    const auto whole = watcher.encodeUpdate({});
+    std::cout << fmt::format("whole update: {} bytes, applied in {:.1f} ms of CPU\n", whole->size(), timed(1, [&](int) {
+                                 peer.applyUpdate(*whole, watcher.announcement(), now);
+                             }));
+    std::size_t bytes = 0;
+    std::size_t largest = 0;
+    double offered = 0;
+    double encoded = 0;
+    double applied = 0;
+    for (int i = 1; i <= changes; ++i) {
+        offered += timed(1, [&](int) {
+            watcher.offer(texts[i]);
+        });
+        std::string update;
+        encoded += timed(1, [&](int) {
+            update = watcher.encodeUpdate(*peer.query(watcher.announcement(), now)).value_or("");
+        });
+        bytes += update.size();
+        largest = std::max(largest, update.size());
+        applied += timed(1, [&](int) {
+            peer.applyUpdate(update, watcher.announcement(), now);
+        });
+    }
+    if (peer.inForce().ref.version != changes + 1 || peer.counters().refused + peer.counters().rejected > 0) {
+        std::cout << "FAILED: the peer is not up to date\n";
+    }
+    std::cout << fmt::format("patch update: {} bytes on average, {} at most\n", bytes / changes, largest)
+              << fmt::format("CPU per change: watcher {:.1f} ms, encoding {:.3f} ms, applying a patch {:.1f} ms\n",
+                             offered / changes,
+                             encoded / changes,
+                             applied / changes)
+              << fmt::format("at {} changes a day: {:.3f}% of a core, {:.0f} bytes/s in and as many out per node; "
+                             "a watcher reads {:.0f} bytes/s\n",
+                             changesPerDay,
+                             applied / changes * changesPerSecond / 10,
+                             static_cast<double>(bytes) / changes * changesPerSecond,
+                             static_cast<double>(texts[0].size()) * changesPerSecond);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string_view what = argc > 1 ? argv[1] : "";
+    if (what != "spread") {
+        measureStore();
+    }
+    if (what != "store") {
+        measureSpread();
+    }
+    return 0;
+}
