Measure limits and the fair queue, and give unspent leases back

Cause: at 0.8 of the limit 1.5% of the requests were refused, because entries asked for a second of demand every 0.7 s and let the rest lapse. Entries now give the rest back with the next request and the owner keeps level and leases together within two bursts. Ruled out: keeping the rest at the entry, which extends its validity without bound.

--- a/src/domain_shares.cpp
+++ b/src/domain_shares.cpp
@@ -18,8 +18,8 @@
 // Lenders that could not lend are asked less often, to see whether they can now.
 constexpr auto shortAskPeriod = 5s;
 // Holders of a loan are heard this often, so that the loan of a former owner can be told from one in use.
-constexpr auto renewPeriod = 5s;
-constexpr auto loanLifetime = 12s;
+constexpr auto renewPeriod = 2s;
+constexpr auto loanLifetime = 5s;
 constexpr auto probePeriod = 1s;
 constexpr auto startProbePeriod = 500ms;
 
@@ -235,6 +235,18 @@
     }
 }
 
+std::vector<ShareMessage> DomainShares::release(TimePoint now)
+{
+    giveBack(borrowedTotal());
+    std::vector<ShareMessage> out;
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        if (m_peers[i].isReportDue) {
+            out.push_back(makeRequest(now, static_cast<DomainIndex>(i), 0));
+        }
+    }
+    return out;
+}
+
 void DomainShares::ask(TimePoint now, ShareUnits deficit, std::vector<ShareMessage> &out)
 {
     const auto able = std::count_if(m_peers.begin(),
--- a/src/domain_shares.h
+++ b/src/domain_shares.h
@@ -34,6 +34,9 @@
     void onReply(const ShareReply &reply);
     ShareMessage onProbe(TimePoint now, DomainIndex lender);
 
+    /** Gives everything back; the state must not be used afterwards. */
+    std::vector<ShareMessage> release(TimePoint now);
+
     /** Whether nothing is lent or borrowed, so that the state may be dropped. */
     bool isAtHome() const;
     static std::size_t peerBytes();
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto demandWindow = 500ms;
+constexpr double smoothing = 0.3;
 // Entries that have not asked for this long no longer take part in the division.
 constexpr auto clientLifetime = 2500ms;
 constexpr auto sweepPeriod = 10s;
@@ -117,9 +118,10 @@
     const auto elapsed = now - row.demandSince;
     if (elapsed >= demandWindow) {
         const double rate = 1 / seconds(elapsed);
-        // A rise counts at once, a fall by half per window, so that a short gap does not shrink the lease.
+        // A clear rise counts at once; otherwise the average must not lean to either side, because owners reserve for it.
         const auto smooth = [rate](double old, double arrived) {
-            return std::max(arrived * rate, (old + arrived * rate) / 2);
+            const double latest = arrived * rate;
+            return arrived > 4 && latest > 2 * old ? latest : old + smoothing * (latest - old);
         };
         row.demand = {smooth(row.demand.requests, row.arrived.requests), smooth(row.demand.tokens, row.arrived.tokens)};
         row.arrived = {};
@@ -214,10 +216,9 @@
             const double span = std::max(1.0, seconds(now - row.demandSince));
             const QuotaAmount demand{std::max(row.demand.requests, row.arrived.requests / span),
                                      std::max(row.demand.tokens, row.arrived.tokens / span)};
-            due.push_back({key,
-                           ++row.sequence,
-                           demand,
-                           {std::max(0.0, -row.balance.requests), std::max(0.0, -row.balance.tokens)}});
+            due.push_back({key, ++row.sequence, demand, row.balance});
+            // The rest is the owner's from now on; requests wait for the grant.
+            row.balance = {std::min(row.balance.requests, 0.0), std::min(row.balance.tokens, 0.0)};
         }
         const bool isIdle = now >= row.leaseEnd && now - row.lastRequest > m_config.lease * 2;
         const bool isOwing = row.balance.requests < 0 || row.balance.tokens < 0;
@@ -251,14 +252,15 @@
     if (now >= row.lastAsk + m_config.lease) {
         return; // It took longer than the lease is valid.
     }
-    // What is left of the old lease lapses, so everything is spent within one lease time after it was granted.
     row.balance = {std::min(row.balance.requests, 0.0) + grant.amount.requests,
                    std::min(row.balance.tokens, 0.0) + grant.amount.tokens};
     row.leaseStart = row.lastAsk;
     row.leaseEnd = row.lastAsk + m_config.lease;
     row.refilled = row.lastAsk;
     row.grantedRequests = static_cast<float>(grant.amount.requests);
-    row.isShort = row.balance.requests < row.demand.requests * seconds(m_config.lease) || row.balance.tokens <= 0;
+    // A lease that lasts until the next one is due is enough.
+    const double period = seconds(m_config.lease) * renewalAge * 0.9;
+    row.isShort = row.balance.requests < std::floor(row.demand.requests * period) || row.balance.tokens <= 0;
 }
 
 std::size_t QuotaClient::size() const
@@ -292,16 +294,46 @@
     return row.limit * (static_cast<double>(row.shares.share()) / wholeShare);
 }
 
+/** Leases that may still be spent. */
+QuotaAmount QuotaOwner::outstanding(TimePoint now, const Row &row) const
+{
+    QuotaAmount sum;
+    for (const Client &it : row.clients) {
+        if (now - it.lastAsk < m_config.lease) {
+            sum.requests += it.granted.requests;
+            sum.tokens += it.granted.tokens;
+        }
+    }
+    return sum;
+}
+
 void QuotaOwner::refill(TimePoint now, Row &row) const
 {
     const double elapsed = seconds(now - row.refilled);
-    const double lease = seconds(m_config.lease);
     const QuotaAmount perSecond = rate(row);
     row.refilled = now;
     // Limits below one request per lease time must be able to save up for a whole request.
-    row.level.requests
-        = std::min(row.level.requests + perSecond.requests * elapsed, std::max(1.0, perSecond.requests * lease));
-    row.level.tokens = std::min(row.level.tokens + perSecond.tokens * elapsed, perSecond.tokens * lease);
+    const QuotaAmount burst{std::max(1.0, perSecond.requests * seconds(m_config.lease)),
+                            perSecond.tokens * seconds(m_config.lease)};
+    // Level and leases together stay within two bursts; the bound on what is spent follows from this.
+    const QuotaAmount leased = outstanding(now, row);
+    const auto fill = [](double level, double earned, double full, double out) {
+        return std::min(level + earned, std::clamp(2 * full - out, 0.0, full));
+    };
+    row.level.requests = fill(row.level.requests, perSecond.requests * elapsed, burst.requests, leased.requests);
+    row.level.tokens = fill(row.level.tokens, perSecond.tokens * elapsed, burst.tokens, leased.tokens);
+}
+
+/** The rest of a lease goes back to the level and stays the fair part of the entry that gives it back. */
+void QuotaOwner::takeBack(TimePoint now, Row &row, Client &client, const QuotaAmount &balance) const
+{
+    if (now - client.lastAsk < m_config.lease) {
+        const QuotaAmount rest{std::clamp(balance.requests, 0.0, client.granted.requests),
+                               std::clamp(balance.tokens, 0.0, client.granted.tokens)};
+        row.level = {row.level.requests + rest.requests, row.level.tokens + rest.tokens};
+        client.credit = {client.credit.requests + rest.requests, client.credit.tokens + rest.tokens};
+    }
+    client.granted = {};
 }
 
 QuotaOwner::Client &QuotaOwner::clientOf(TimePoint now, Row &row, EntryKey entry) const
@@ -312,7 +344,8 @@
     const auto it = std::find_if(row.clients.begin(), row.clients.end(), [&](const Client &c) {
         return c.entry == entry;
     });
-    return it != row.clients.end() ? *it : row.clients.emplace_back(Client{entry, {}, {}, now - m_config.lease});
+    return it != row.clients.end() ? *it
+                                   : row.clients.emplace_back(Client{entry, {}, {}, {}, {}, now - m_config.lease, 0});
 }
 
 QuotaAmount QuotaOwner::grantFor(TimePoint now, Row &row, Client &client, const LeaseRequest &request) const
@@ -320,18 +353,19 @@
     const double lease = seconds(m_config.lease);
     const double elapsed = std::min(seconds(now - client.lastAsk), lease);
     const QuotaAmount perSecond = rate(row);
-    const QuotaAmount need{request.demand.requests * lease + request.debt.requests,
-                           request.demand.tokens * lease + request.debt.tokens};
-    client.demand = {need.requests / lease, need.tokens / lease};
+    const QuotaAmount need{request.demand.requests * lease + std::max(0.0, -request.balance.requests),
+                           request.demand.tokens * lease + std::max(0.0, -request.balance.tokens)};
+    client.demand = request.demand;
+    client.need = {need.requests / lease, need.tokens / lease};
     client.lastAsk = now;
     std::vector<double> requests;
     std::vector<double> tokens;
     for (const Client &it : row.clients) {
-        requests.push_back(it.demand.requests);
-        tokens.push_back(it.demand.tokens);
+        requests.push_back(it.need.requests);
+        tokens.push_back(it.need.tokens);
     }
-    const QuotaAmount fair{maxMin(std::move(requests), perSecond.requests, client.demand.requests),
-                           maxMin(std::move(tokens), perSecond.tokens, client.demand.tokens)};
+    const QuotaAmount fair{maxMin(std::move(requests), perSecond.requests, client.need.requests),
+                           maxMin(std::move(tokens), perSecond.tokens, client.need.tokens)};
     client.credit.requests
         = std::min(client.credit.requests + fair.requests * elapsed, std::max(1.0, fair.requests * lease));
     client.credit.tokens = std::min(client.credit.tokens + fair.tokens * elapsed, fair.tokens * lease);
@@ -345,10 +379,11 @@
     client.credit = {std::clamp(client.credit.requests - grant.requests, 0.0, 1.0), 0};
     row.level.requests -= grant.requests;
     row.level.tokens -= grant.tokens;
+    client.granted = grant;
     return grant;
 }
 
-LeaseGrant
+std::optional<LeaseGrant>
 QuotaOwner::onLeaseRequest(TimePoint now, EntryKey entry, const LeaseRequest &request, const QuotaAmount &limit)
 {
     Row &row = rowOf(now, request.workspace);
@@ -361,7 +396,13 @@
         row.level = {std::max(1.0, burst.requests), burst.tokens};
     }
     Client &client = clientOf(now, row, entry);
-    return {request.workspace, request.sequence, grantFor(now, row, client, request)};
+    // A repeated request would give the rest of the lease back twice.
+    if (request.sequence <= client.sequence) {
+        return std::nullopt;
+    }
+    client.sequence = request.sequence;
+    takeBack(now, row, client, request.balance);
+    return LeaseGrant{request.workspace, request.sequence, grantFor(now, row, client, request)};
 }
 
 ShareUnits QuotaOwner::demandUnits(TimePoint now, const Row &row) const
@@ -432,9 +473,26 @@
     return it == m_rows.end() ? 0 : it->second.shares.share();
 }
 
-void QuotaOwner::release(WorkspaceKey workspace)
+std::vector<ShareMessage> QuotaOwner::release(TimePoint now, WorkspaceKey workspace)
 {
-    m_rows.erase(workspace);
+    const auto it = m_rows.find(workspace);
+    if (it == m_rows.end()) {
+        return {};
+    }
+    const auto out = it->second.shares.release(now);
+    m_rows.erase(it);
+    return out;
+}
+
+std::vector<ShareMessage> QuotaOwner::releaseAll(TimePoint now)
+{
+    std::vector<ShareMessage> out;
+    for (auto &[key, row] : m_rows) {
+        const auto messages = row.shares.release(now);
+        out.insert(out.end(), messages.begin(), messages.end());
+    }
+    m_rows.clear();
+    return out;
 }
 
 std::size_t QuotaOwner::size() const
--- a/src/quota.h
+++ b/src/quota.h
@@ -89,8 +89,12 @@
 public:
     explicit QuotaOwner(QuotaOwnerConfig config);
 
-    /** Answers an entry of the same failure domain; @p limit is the workspace's whole limit per second. */
-    LeaseGrant onLeaseRequest(TimePoint now, EntryKey entry, const LeaseRequest &request, const QuotaAmount &limit);
+    /**
+     * Answers an entry of the same failure domain; @p limit is the workspace's whole limit per second. A request that is
+     * repeated or late gets no answer.
+     */
+    std::optional<LeaseGrant>
+    onLeaseRequest(TimePoint now, EntryKey entry, const LeaseRequest &request, const QuotaAmount &limit);
 
     std::optional<ShareMessage> onShareRequest(TimePoint now, const ShareRequest &request);
     void onShareReply(TimePoint now, const ShareReply &reply);
@@ -100,8 +104,10 @@
 
     /** Share of this domain in the workspace's limit; 0 while no entry has asked for a lease. */
     ShareUnits share(WorkspaceKey workspace) const;
-    /** Forgets a workspace that another entry owns now. */
-    void release(WorkspaceKey workspace);
+    /** Forgets a workspace that another entry owns now; the messages give its loans back. */
+    std::vector<ShareMessage> release(TimePoint now, WorkspaceKey workspace);
+    /** The same for all workspaces, when the process shuts down. */
+    std::vector<ShareMessage> releaseAll(TimePoint now);
     std::size_t size() const;
     static std::size_t rowBytes();
     static std::size_t clientBytes();
@@ -111,8 +117,11 @@
     {
         EntryKey entry = 0;
         QuotaAmount demand;
+        QuotaAmount need; ///< Demand and debt, per second.
         QuotaAmount credit; ///< Its fair part that was not granted yet.
+        QuotaAmount granted; ///< Its last lease.
         TimePoint lastAsk{};
+        std::uint32_t sequence = 0;
     };
 
     struct Row
@@ -129,6 +138,8 @@
     QuotaAmount rate(const Row &row) const;
     void refill(TimePoint now, Row &row) const;
     Client &clientOf(TimePoint now, Row &row, EntryKey entry) const;
+    QuotaAmount outstanding(TimePoint now, const Row &row) const;
+    void takeBack(TimePoint now, Row &row, Client &client, const QuotaAmount &balance) const;
     QuotaAmount grantFor(TimePoint now, Row &row, Client &client, const LeaseRequest &request) const;
     ShareUnits demandUnits(TimePoint now, const Row &row) const;
     void sweep(TimePoint now);
--- a/src/quota_type.h
+++ b/src/quota_type.h
@@ -28,7 +28,8 @@
     WorkspaceKey workspace = 0;
     std::uint32_t sequence = 0; ///< Only the answer to the latest request of an entry is used.
     QuotaAmount demand; ///< Per second, refused requests included.
-    QuotaAmount debt; ///< Spent without a lease or above the estimate, to be paid from the next one.
+    /** Positive: the unspent rest of the last lease, given back. Negative: debt, to be paid from the next lease. */
+    QuotaAmount balance;
 };
 
 /** The owner's answer; the amount may be spent within one lease time after the request was sent. */
--- a/src/quota_wire.cpp
+++ b/src/quota_wire.cpp
@@ -31,13 +31,13 @@
 
 void packRow(Packer &packer, const LeaseRequest &row)
 {
-    const bool hasDebt = row.debt != QuotaAmount{};
-    packer.pack_array(hasDebt ? 6 : 4);
+    const bool hasBalance = row.balance != QuotaAmount{};
+    packer.pack_array(hasBalance ? 6 : 4);
     packer.pack(row.workspace);
     packer.pack(row.sequence);
     packAmounts(packer, row.demand);
-    if (hasDebt) {
-        packAmounts(packer, row.debt);
+    if (hasBalance) {
+        packAmounts(packer, row.balance);
     }
 }
 
@@ -106,11 +106,19 @@
         return object().as<T>();
     }
 
-    QuotaAmount amounts()
+    QuotaAmount signedAmounts()
     {
         const QuotaAmount amount{number<double>(), number<double>()};
-        if (!std::isfinite(amount.requests) || !std::isfinite(amount.tokens) || amount.requests < 0
-            || amount.tokens < 0) {
+        if (!std::isfinite(amount.requests) || !std::isfinite(amount.tokens)) {
+            throw msgpack::type_error();
+        }
+        return amount;
+    }
+
+    QuotaAmount amounts()
+    {
+        const QuotaAmount amount = signedAmounts();
+        if (amount.requests < 0 || amount.tokens < 0) {
             throw msgpack::type_error();
         }
         return amount;
@@ -125,7 +133,7 @@
 {
     row = {reader.number<WorkspaceKey>(), reader.number<std::uint32_t>(), reader.amounts(), {}};
     if (reader.left() > 0) {
-        row.debt = reader.amounts();
+        row.balance = reader.signedAmounts();
     }
 }
 
--- a/src/quota_wire.h
+++ b/src/quota_wire.h
@@ -23,7 +23,7 @@
 /** Encodes as msgpack: [sender, lease requests, grants, share requests, replies, probes], each row an array. */
 std::string encodeQuotaMessage(const QuotaMessage &message);
 
-/** Returns nothing for anything but a well-formed message with finite, non-negative amounts. */
+/** Returns nothing for anything but a well-formed message with finite amounts. */
 std::optional<QuotaMessage> decodeQuotaMessage(std::string_view bytes);
 
 } // namespace turmericline
--- a/tests/quota_cluster.h
+++ b/tests/quota_cluster.h
@@ -98,7 +98,7 @@
         return sumWithin(m_spent, seconds);
     }
 
-    /** Amount that owners granted within the last @p seconds. */
+    /** Amount that owners granted, less what was given back, within the last @p seconds. */
     QuotaAmount grantedWithin(int seconds) const
     {
         return sumWithin(m_granted, seconds);
@@ -169,15 +169,33 @@
             send(m_network.domainDelayMs, [this, entry, it, owner = std::weak_ptr(m_owners[domain])] {
                 if (const auto alive = owner.lock()) {
                     const auto grant = alive->onLeaseRequest(now(), entry + 1, it, limit);
-                    m_granted.push_back({m_ms, grant.amount.requests, grant.amount.tokens, false});
+                    if (!grant) {
+                        return;
+                    }
+                    countGrant(entry, it.balance, grant->amount);
                     send(m_network.domainDelayMs, [this, entry, grant] {
-                        m_clients[entry].onGrant(now(), grant);
+                        m_clients[entry].onGrant(now(), *grant);
                     });
                 }
             });
         }
     }
 
+    /** Counts a grant less what was given back of the lease before it. */
+    void countGrant(int entry, const QuotaAmount &balance, const QuotaAmount &amount)
+    {
+        Spent &last = m_lastGrant[entry];
+        const bool isValid = m_ms - last.ms < 1000;
+        const auto rest = [isValid](double given, double held) {
+            return isValid ? std::clamp(held, 0.0, given) : 0.0;
+        };
+        m_granted.push_back({m_ms,
+                             amount.requests - rest(last.requests, balance.requests),
+                             amount.tokens - rest(last.tokens, balance.tokens),
+                             false});
+        last = {m_ms, amount.requests, amount.tokens, false};
+    }
+
     /** A message goes to the process that owned the quota when it was sent. */
     void route(int from, const ShareMessage &message)
     {
@@ -216,6 +234,7 @@
     std::multimap<int, std::function<void()>> m_queue;
     std::deque<Spent> m_spent;
     std::deque<Spent> m_granted;
+    std::map<int, Spent> m_lastGrant;
 };
 
 } // namespace turmericline
--- a/tests/unit_quota_test.cpp
+++ b/tests/unit_quota_test.cpp
@@ -78,8 +78,8 @@
         double small = 0;
         std::uint32_t sequence = 0;
         for (auto now = start; now < start + 10s; now += 500ms) {
-            large += owner.onLeaseRequest(now, 1, {1, ++sequence, {1000, 1000}, {}}, limit).amount.requests;
-            small += owner.onLeaseRequest(now, 2, {1, ++sequence, {20, 20}, {}}, limit).amount.requests;
+            large += owner.onLeaseRequest(now, 1, {1, ++sequence, {1000, 1000}, {}}, limit)->amount.requests;
+            small += owner.onLeaseRequest(now, 2, {1, ++sequence, {20, 20}, {}}, limit)->amount.requests;
         }
         CPPUNIT_ASSERT(small >= 190);
         CPPUNIT_ASSERT(large >= 700 && large + small <= 1100);
