Follow moving demand faster

Cause: after demand moved to another domain the new one reached 0.9 of its rate only after 9.8 s, because entries with little traffic left kept reporting their old demand for about 6 s and lenders that had nothing to lend were asked again only after 5 s. Clear falls now count at once and short lenders are asked every 2 s. Ruled out: a shorter average for all, which raises the lenders' reserve.

--- a/src/domain_shares.cpp
+++ b/src/domain_shares.cpp
@@ -16,7 +16,7 @@
 constexpr auto wishLifetime = 10s;
 constexpr auto askPeriod = 1s;
 // Lenders that could not lend are asked less often, to see whether they can now.
-constexpr auto shortAskPeriod = 5s;
+constexpr auto shortAskPeriod = 2s;
 // Holders of a loan are heard this often, so that the loan of a former owner can be told from one in use.
 constexpr auto renewPeriod = 2s;
 constexpr auto loanLifetime = 5s;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -118,10 +118,13 @@
     const auto elapsed = now - row.demandSince;
     if (elapsed >= demandWindow) {
         const double rate = 1 / seconds(elapsed);
-        // A clear rise counts at once; otherwise the average must not lean to either side, because owners reserve for it.
-        const auto smooth = [rate](double old, double arrived) {
-            const double latest = arrived * rate;
-            return arrived > 4 && latest > 2 * old ? latest : old + smoothing * (latest - old);
+        // Clear changes count at once; otherwise the average must not lean to either side, because owners reserve for it.
+        const double expected = row.demand.requests * seconds(elapsed);
+        const bool isRise = row.arrived.requests > std::max(4.0, 2 * expected);
+        const bool isFall = expected > 16 && row.arrived.requests < expected / 2;
+        const double part = isRise || isFall ? 1 : row.arrived.requests < expected / 2 ? 2 * smoothing : smoothing;
+        const auto smooth = [rate, part](double old, double arrived) {
+            return old + part * (arrived * rate - old);
         };
         row.demand = {smooth(row.demand.requests, row.arrived.requests), smooth(row.demand.tokens, row.arrived.tokens)};
         row.arrived = {};
