--- /dev/null
+++ b/bench/bench_retry.cpp
@@ -0,0 +1,278 @@
+// A fleet that loses one failure domain for 30 s while callers go on: attempts, successes and the time to recover.
+#include "bench_util.h"
+#include "retry.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace turmericline;
+using namespace turmericline::bench;
+
+namespace {
+
+constexpr double serviceTime = 0.1;
+constexpr int slotsPerDomain = 40;
+constexpr std::size_t queueLimit = 40; // One service time of waiting.
+constexpr double rejectionTime = 0.005; // Slot time that reading and refusing a request costs a server.
+constexpr double failureTime = 0.1; // Until an attempt at the lost domain is given up.
+constexpr double detectionTime = 2; // Until entries route around a lost domain, or back to it.
+constexpr double deadline = 2;
+constexpr double lossAt = 30;
+constexpr double backAt = 60;
+constexpr double endAt = 120;
+constexpr int entriesPerDomain = 4;
+constexpr int maxReturns = 3; // A refused caller comes back this often.
+
+enum class Mode {
+    Budget,
+    Always,
+    Never,
+};
+
+struct Call
+{
+    int entry = 0;
+    unsigned attempts = 0;
+    int returns = 0;
+    double since = 0;
+};
+
+struct Second
+{
+    double own = 0; ///< Requests of callers, returns included.
+    double attempts = 0; ///< At domains that are up.
+    double successes = 0;
+    double capacity = 0; ///< Successes that the remaining domains could bring.
+};
+
+class Model
+{
+public:
+    Model(Mode mode, int domains, double load, unsigned seed)
+        : m_mode(mode)
+        , m_domains(domains)
+        , m_rate(load * domains * slotsPerDomain / serviceTime)
+        , m_random(seed)
+        , m_servers(domains)
+        , m_budgets(domains * entriesPerDomain)
+        , seconds(static_cast<std::size_t>(endAt) + 1)
+    {
+    }
+
+    void run()
+    {
+        for (Second &it : seconds) {
+            it.capacity = (m_domains - 1) * slotsPerDomain / serviceTime;
+        }
+        arrive();
+        m_events.runUntil(endAt);
+    }
+
+private:
+    struct Server
+    {
+        int busy = 0;
+        std::deque<Call> queue;
+        double stolen = 0;
+    };
+
+    Mode m_mode;
+    int m_domains;
+    double m_rate;
+    std::mt19937 m_random;
+    std::vector<Server> m_servers;
+    std::vector<RetryBudget> m_budgets;
+    RetryPolicy m_policy;
+    EventQueue m_events;
+
+public:
+    std::vector<Second> seconds;
+
+private:
+    double uniform()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+
+    TimePoint now() const
+    {
+        const std::chrono::duration<double> time(1000 + m_events.now());
+        return TimePoint(std::chrono::duration_cast<TimePoint::duration>(time));
+    }
+
+    bool isLost(int domain) const
+    {
+        return domain == 0 && m_events.now() >= lossAt && m_events.now() < backAt;
+    }
+
+    bool isKnownLost(int domain) const
+    {
+        return domain == 0 && m_events.now() >= lossAt + detectionTime && m_events.now() < backAt + detectionTime;
+    }
+
+    Second &current()
+    {
+        return seconds[static_cast<std::size_t>(m_events.now())];
+    }
+
+    void arrive()
+    {
+        std::exponential_distribution<double> gap(m_rate);
+        m_events.at(m_events.now() + gap(m_random), [this] {
+            Call call;
+            call.entry = static_cast<int>(uniform() * static_cast<double>(m_budgets.size()));
+            begin(call);
+            arrive();
+        });
+    }
+
+    void begin(Call call)
+    {
+        call.since = m_events.now();
+        call.attempts = 0;
+        current().own += 1;
+        attempt(call);
+    }
+
+    void attempt(Call call)
+    {
+        ++call.attempts;
+        int domain = static_cast<int>(uniform() * m_domains);
+        while (isKnownLost(domain)) {
+            domain = static_cast<int>(uniform() * m_domains);
+        }
+        if (isLost(domain)) {
+            m_events.at(m_events.now() + failureTime, [this, call] {
+                failed(call, Verdict::MayHaveRun);
+            });
+            return;
+        }
+        current().attempts += 1;
+        Server &server = m_servers[domain];
+        if (server.busy < slotsPerDomain) {
+            serve(domain, call);
+        } else if (server.queue.size() < queueLimit) {
+            server.queue.push_back(call);
+        } else {
+            server.stolen += rejectionTime;
+            failed(call, Verdict::NotRun);
+        }
+    }
+
+    void serve(int domain, const Call &call)
+    {
+        Server &server = m_servers[domain];
+        ++server.busy;
+        std::exponential_distribution<double> service(1 / serviceTime);
+        const double time = service(m_random) + std::exchange(server.stolen, 0.0);
+        m_events.at(m_events.now() + time, [this, domain, call] {
+            Server &own = m_servers[domain];
+            --own.busy;
+            current().successes += 1;
+            m_budgets[call.entry].onSuccess();
+            if (!own.queue.empty()) {
+                const Call next = own.queue.front();
+                own.queue.pop_front();
+                serve(domain, next);
+            }
+        });
+    }
+
+    void failed(const Call &call, Verdict verdict)
+    {
+        bool isRetry = m_mode == Mode::Always && call.attempts < 3;
+        double delay = 0.01 * (0.5 + uniform());
+        if (m_mode == Mode::Budget) {
+            const auto left = std::chrono::duration<double>(call.since + deadline - m_events.now());
+            const AttemptResult result{verdict,
+                                       true,
+                                       call.attempts,
+                                       now() + std::chrono::duration_cast<TimePoint::duration>(left),
+                                       std::chrono::milliseconds(100)};
+            const auto decision = m_policy.decide(now(), result, m_budgets[call.entry], uniform());
+            isRetry = decision.isRetry();
+            delay = std::chrono::duration<double>(decision.delay).count();
+        }
+        if (isRetry) {
+            m_events.at(m_events.now() + delay, [this, call] {
+                attempt(call);
+            });
+            return;
+        }
+        if (call.returns < maxReturns) {
+            Call again = call;
+            ++again.returns;
+            const auto time = m_policy.retryAfter(load(), uniform());
+            m_events.at(m_events.now() + std::chrono::duration<double>(time).count(), [this, again] {
+                begin(again);
+            });
+        }
+    }
+
+    double load() const
+    {
+        double busy = 0;
+        double slots = 0;
+        for (int d = 0; d < m_domains; ++d) {
+            if (!isKnownLost(d)) {
+                busy += m_servers[d].busy + static_cast<double>(m_servers[d].queue.size());
+                slots += slotsPerDomain;
+            }
+        }
+        return busy / slots;
+    }
+};
+
+double part(const std::vector<Second> &seconds, double from, double to, double Second::*of, double Second::*in)
+{
+    double top = 0;
+    double bottom = 0;
+    for (auto i = static_cast<std::size_t>(from); i < static_cast<std::size_t>(to); ++i) {
+        top += seconds[i].*of;
+        bottom += seconds[i].*in;
+    }
+    return bottom > 0 ? top / bottom : 0;
+}
+
+void add(Report &report, const std::string &name, Mode mode, int domains, double load, unsigned seed)
+{
+    Model model(mode, domains, load, seed);
+    model.run();
+    double worst = 0;
+    double recovered = backAt;
+    for (double t = lossAt; t < backAt; t += 1) {
+        worst = std::max(worst, part(model.seconds, t, t + 1, &Second::attempts, &Second::own));
+    }
+    const double before = part(model.seconds, lossAt - 20, lossAt, &Second::successes, &Second::own);
+    for (double t = backAt; t + 3 < endAt; t += 1) {
+        if (part(model.seconds, t, t + 3, &Second::successes, &Second::own) < 0.97 * before) {
+            recovered = t + 3;
+        }
+    }
+    report.add(name,
+               {part(model.seconds, lossAt, backAt, &Second::attempts, &Second::own),
+                worst,
+                part(model.seconds, lossAt, lossAt + detectionTime, &Second::successes, &Second::own),
+                part(model.seconds, lossAt + detectionTime, backAt, &Second::successes, &Second::own),
+                part(model.seconds, lossAt + detectionTime, backAt, &Second::successes, &Second::capacity),
+                recovered - backAt});
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const unsigned seed = seedArgument(argc, argv);
+    Report report("loss of one domain",
+                  {"attempts_own", "worst_second", "ok_first_2s", "ok_until_back", "goodput_rest", "recovery_s"});
+    for (const int domains : {13, 3}) {
+        for (const double load : {0.6, 0.75, 0.9}) {
+            char name[64];
+            std::snprintf(name, sizeof name, "%d domains, load %.2f", domains, load);
+            add(report, std::string(name) + ", budget", Mode::Budget, domains, load, seed);
+            add(report, std::string(name) + ", 3 tries always", Mode::Always, domains, load, seed);
+            add(report, std::string(name) + ", no retries", Mode::Never, domains, load, seed);
+        }
+    }
+}
