--- /dev/null
+++ b/src/placement_adaptive.cpp
@@ -0,0 +1,175 @@
+#include "placement.h"
+
+#include "placement_forecast.h"
+#include "placement_search.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace turmericline {
+
+namespace {
+
+// At the default weight, moving all copies of a layer must gain this much skew to be worth it.
+constexpr double fullMoveCost = 0.2;
+// Hysteresis: smaller gains are not worth a change, since the next windows tend to undo them.
+constexpr double smallestGain = 0.015;
+// A map this close to the lower bound needs no second search with other numbers of copies.
+constexpr double closeToBound = 1.03;
+// The search ends after this many steps in a row without progress by the fraction below.
+constexpr std::size_t patience = 8;
+constexpr double progress = 0.002;
+// Far along a path, stages differ little, so only every fourth is judged.
+constexpr std::size_t denseStages = 8;
+constexpr std::size_t stageInterval = 4;
+
+/** A map on the way from the previous one to the best that a search finds. */
+struct Stage
+{
+    bool isRetargeted = false;
+    std::size_t edits = 0;
+    std::size_t moves = 0;
+    double skew = 0.0;
+};
+
+class AdaptivePlacer : public Placer
+{
+public:
+    AdaptivePlacer(const PlacementShape &shape, std::size_t layers, const PlacementOptions &options)
+        : Placer(shape, layers)
+        , m_options(options)
+        , m_forecasts(layers, LoadForecast(shape.experts))
+        , m_search(shape)
+    {
+        const double priceOfMoves = (1.0 - options.skewWeight) / std::max(options.skewWeight, 1e-9);
+        const std::size_t slots = shape.ranks * std::min(shape.slots, shape.experts);
+        m_moveCost = fullMoveCost * priceOfMoves / static_cast<double>(slots);
+        m_smallestGain = smallestGain * priceOfMoves;
+    }
+
+protected:
+    void decide(std::span<const ExpertLoads> layers, bool held) override
+    {
+        for (std::size_t l = 0; l < layers.size(); ++l) {
+            m_forecasts[l].observe(layers[l]);
+        }
+        if (held || m_options.skewWeight <= 0.0) {
+            return;
+        }
+        if (m_options.moveBudget) {
+            improveWithin(*m_options.moveBudget);
+            return;
+        }
+        for (std::size_t l = 0; l < m_maps.size(); ++l) {
+            if (const auto stage = bestStage(l); stage.moves > 0) {
+                apply(l, stage);
+            }
+        }
+    }
+
+private:
+    /** Spends the budget on the layers that gain most. */
+    void improveWithin(std::size_t budget)
+    {
+        std::vector<std::pair<double, std::size_t>> gains;
+        for (std::size_t l = 0; l < m_maps.size(); ++l) {
+            if (const auto stage = bestStage(l); stage.moves > 0) {
+                gains.emplace_back(stage.skew - m_path.front().skew, l);
+            }
+        }
+        std::sort(gains.begin(), gains.end());
+        for (const auto &[gain, layer] : gains) {
+            const auto stage = lastStageWithin(bestStage(layer), budget);
+            if (stage.moves > 0) {
+                apply(layer, stage);
+                budget -= stage.moves;
+            }
+        }
+    }
+
+    /** Searches a map for @p layer; returns a stage without moves if no change is worth its cost. */
+    Stage bestStage(std::size_t layer)
+    {
+        m_path.clear();
+        if (m_forecasts[layer].isEmpty()) {
+            return {};
+        }
+        explore(layer, false);
+        if (m_search.skew() > closeToBound * skewLowerBound(m_shape, m_forecasts[layer].shares())) {
+            explore(layer, true);
+        }
+        const auto cost = [&](const Stage &stage) {
+            return stage.skew + m_moveCost * static_cast<double>(stage.moves);
+        };
+        const auto best = std::min_element(m_path.begin(), m_path.end(), [&](const Stage &a, const Stage &b) {
+            return cost(a) < cost(b);
+        });
+        return cost(*best) < (1.0 - m_smallestGain) * cost(m_path.front()) ? *best : Stage{};
+    }
+
+    /** Returns the last stage on the way to @p goal that the budget allows; later windows go on from there. */
+    Stage lastStageWithin(const Stage &goal, std::size_t budget) const
+    {
+        if (goal.moves <= budget) {
+            return goal;
+        }
+        Stage last;
+        for (const auto &it : m_path) {
+            // A retargeted path starts with many moves at once, so a small budget takes the other path.
+            const bool isOnTheWay = it.isRetargeted ? goal.isRetargeted && it.edits < goal.edits
+                                                    : goal.isRetargeted || it.edits < goal.edits;
+            if (isOnTheWay && it.moves <= budget) {
+                last = it;
+            }
+        }
+        return last;
+    }
+
+    void explore(std::size_t layer, bool isRetargeted)
+    {
+        m_search.reset(m_maps[layer], m_forecasts[layer].shares());
+        if (isRetargeted) {
+            m_search.retarget();
+        }
+        double lowest = std::numeric_limits<double>::max();
+        std::size_t idle = 0;
+        bool hasNext = true;
+        for (std::size_t step = 0; hasNext; ++step) {
+            if (step < denseStages || step % stageInterval == 0) {
+                m_path.push_back({isRetargeted,
+                                  m_search.edits().size(),
+                                  m_search.moves(),
+                                  m_search.meanSkew(m_forecasts[layer].scenarios())});
+            }
+            const bool isProgress = m_search.skew() < lowest * (1.0 - progress);
+            idle = isProgress ? 0 : idle + 1;
+            lowest = isProgress ? m_search.skew() : lowest;
+            hasNext = idle <= patience && m_search.step();
+        }
+        m_edits[isRetargeted ? 1 : 0] = m_search.edits();
+    }
+
+    void apply(std::size_t layer, const Stage &stage)
+    {
+        const auto &edits = m_edits[stage.isRetargeted ? 1 : 0];
+        MapSearch::applyTo(m_maps[layer], std::span(edits).first(stage.edits));
+    }
+
+    PlacementOptions m_options;
+    std::vector<LoadForecast> m_forecasts;
+    MapSearch m_search;
+    std::vector<Stage> m_path; ///< Stages of the searches of the layer at hand.
+    std::array<std::vector<MapSearch::Edit>, 2> m_edits; ///< Edits of the plain and the retargeted search.
+    double m_moveCost = 0.0;
+    double m_smallestGain = 0.0;
+};
+
+} // namespace
+
+std::unique_ptr<Placer>
+makeAdaptivePlacer(const PlacementShape &shape, std::size_t layers, const PlacementOptions &options)
+{
+    return std::make_unique<AdaptivePlacer>(shape, layers, options);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/placement_search.cpp
@@ -0,0 +1,375 @@
+#include "placement_search.h"
+
+#include "placement.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace turmericline {
+
+namespace {
+
+// Undoing an earlier step costs no move.
+constexpr double undoCost = 0.25;
+// Retargeting leaves alone the experts whose share is close to the largest share that is unavoidable.
+constexpr double retargetSlack = 1.2;
+// The coldest ranks are enough to choose from; looking at all of 128 ranks costs four times the time.
+constexpr std::size_t largestTargetCount = 32;
+constexpr std::size_t stepsPerChoice = 8;
+constexpr double smallestGain = 1e-9;
+
+/**
+ * The 16th power makes the sum over ranks follow the largest load closely, while it still rewards relieving one of
+ * several equally loaded ranks.
+ */
+double penalty(double load)
+{
+    const double p2 = load * load;
+    const double p4 = p2 * p2;
+    const double p8 = p4 * p4;
+    return p8 * p8;
+}
+
+template<typename T>
+void eraseValue(std::vector<T> &values, T value)
+{
+    const auto it = std::find(values.begin(), values.end(), value);
+    *it = values.back();
+    values.pop_back();
+}
+
+} // namespace
+
+MapSearch::MapSearch(const PlacementShape &shape)
+    : m_shape(shape)
+    , m_holders(shape.experts)
+    , m_slots(shape.ranks)
+    , m_held(shape.ranks * shape.experts)
+    , m_rankLoad(shape.ranks)
+    , m_penalty(shape.ranks)
+    , m_ratings(shape.experts)
+{
+}
+
+void MapSearch::reset(const ExpertMap &map, const ExpertLoads &shares)
+{
+    m_load = shares;
+    for (auto &it : m_load) {
+        it *= static_cast<double>(m_shape.ranks);
+    }
+    for (auto &it : m_holders) {
+        it.clear();
+    }
+    std::fill(m_held.begin(), m_held.end(), 0);
+    m_slots = map;
+    for (std::size_t r = 0; r < map.size(); ++r) {
+        for (const auto it : map[r]) {
+            m_held[r * m_shape.experts + it] = 1;
+            m_holders[it].push_back(static_cast<std::uint32_t>(r));
+        }
+    }
+    m_heldAtStart = m_held;
+    m_moves = 0;
+    m_edits.clear();
+    m_stepsLeft = 0;
+    for (std::size_t r = 0; r < map.size(); ++r) {
+        m_rankLoad[r] = 0.0;
+        for (const auto it : map[r]) {
+            m_rankLoad[r] += share(it, copies(it));
+        }
+        m_penalty[r] = penalty(m_rankLoad[r]);
+    }
+}
+
+double MapSearch::skew() const
+{
+    return *std::max_element(m_rankLoad.begin(), m_rankLoad.end());
+}
+
+double MapSearch::meanSkew(const ScenarioLoads &scenarios) const
+{
+    std::array<double, scenarioCount> largest{};
+    for (const auto &slots : m_slots) {
+        std::array<double, scenarioCount> load{};
+        for (const auto it : slots) {
+            const double part = 1.0 / static_cast<double>(copies(it));
+            for (std::size_t n = 0; n < scenarioCount; ++n) {
+                load[n] += scenarios[it][n] * part;
+            }
+        }
+        for (std::size_t n = 0; n < scenarioCount; ++n) {
+            largest[n] = std::max(largest[n], load[n]);
+        }
+    }
+    const double sum = std::accumulate(largest.begin(), largest.end(), 0.0);
+    return sum * static_cast<double>(m_shape.ranks) / static_cast<double>(scenarioCount);
+}
+
+void MapSearch::applyTo(ExpertMap &map, std::span<const Edit> edits)
+{
+    for (const auto &it : edits) {
+        auto &slots = map[it.rank];
+        if (it.kind == Edit::Kind::Put) {
+            slots.insert(std::lower_bound(slots.begin(), slots.end(), it.expert), it.expert);
+        } else {
+            slots.erase(std::lower_bound(slots.begin(), slots.end(), it.expert));
+        }
+    }
+}
+
+bool MapSearch::step()
+{
+    m_hottest = static_cast<std::size_t>(std::max_element(m_rankLoad.begin(), m_rankLoad.end()) - m_rankLoad.begin());
+    m_best = {};
+    m_bestRate = 0.0;
+    rateExperts();
+    considerPulls();
+    if (m_stepsLeft-- == 0) {
+        chooseTargets();
+        m_stepsLeft = stepsPerChoice;
+    }
+    for (const auto rank : m_targets) {
+        if (m_rankLoad[rank] < m_rankLoad[m_hottest]) {
+            considerCopies(rank);
+        }
+    }
+    // Swaps come last because the best copy found so far rules out most of them.
+    for (const auto rank : m_targets) {
+        if (m_rankLoad[rank] < m_rankLoad[m_hottest]) {
+            considerSwaps(rank);
+        }
+    }
+    for (std::size_t n = 0; n < m_best.count; ++n) {
+        apply(m_best.edits[n]);
+    }
+    return m_best.count > 0;
+}
+
+void MapSearch::retarget()
+{
+    const auto targets = copiesByLoad(m_shape, m_load);
+    std::vector<ExpertIndex> missing;
+    double largest = 0.0;
+    for (ExpertIndex e = 0; e < m_shape.experts; ++e) {
+        largest = std::max(largest, share(e, targets[e]));
+    }
+    std::size_t needed = 0;
+    for (ExpertIndex e = 0; e < m_shape.experts; ++e) {
+        if (copies(e) < targets[e] && share(e, copies(e)) > retargetSlack * largest) {
+            missing.push_back(e);
+            needed += targets[e] - copies(e);
+        }
+    }
+    std::vector<ExpertIndex> surplus;
+    for (ExpertIndex e = 0; e < m_shape.experts; ++e) {
+        if (copies(e) > targets[e]) {
+            surplus.push_back(e);
+        }
+    }
+    std::sort(surplus.begin(), surplus.end(), [&](ExpertIndex a, ExpertIndex b) {
+        return share(a, copies(a)) < share(b, copies(b));
+    });
+    for (const auto e : surplus) {
+        while (copies(e) > targets[e] && needed > 0) {
+            const auto rank = *std::max_element(m_holders[e].begin(), m_holders[e].end(), [&](auto a, auto b) {
+                return m_rankLoad[a] < m_rankLoad[b];
+            });
+            apply({Edit::Kind::Drop, e, rank});
+            --needed;
+        }
+    }
+    std::sort(missing.begin(), missing.end(), [&](ExpertIndex a, ExpertIndex b) {
+        return share(a, targets[a]) > share(b, targets[b]);
+    });
+    for (const auto e : missing) {
+        while (copies(e) < targets[e]) {
+            std::size_t best = m_shape.ranks;
+            for (std::size_t r = 0; r < m_shape.ranks; ++r) {
+                if (m_slots[r].size() < m_shape.slots && !holds(r, e)
+                    && (best == m_shape.ranks || m_rankLoad[r] < m_rankLoad[best])) {
+                    best = r;
+                }
+            }
+            if (best == m_shape.ranks) {
+                break;
+            }
+            apply({Edit::Kind::Put, e, best});
+        }
+    }
+}
+
+double MapSearch::moveCost(ExpertIndex expert, std::size_t rank) const
+{
+    return m_heldAtStart[rank * m_shape.experts + expert] ? 0.0 : 1.0;
+}
+
+void MapSearch::rateExperts()
+{
+    for (ExpertIndex e = 0; e < m_shape.experts; ++e) {
+        const auto n = copies(e);
+        const double rise = n > 1 ? share(e, n - 1) - share(e, n) : 0.0;
+        const double fall = share(e, n) - share(e, n + 1);
+        double lost = 0.0;
+        double won = 0.0;
+        for (const auto r : m_holders[e]) {
+            lost += n > 1 ? penalty(m_rankLoad[r] + rise) - m_penalty[r] : 0.0;
+            won += m_penalty[r] - penalty(m_rankLoad[r] - fall);
+        }
+        m_ratings[e] = {share(e, n), share(e, n + 1), rise, lost, won};
+    }
+}
+
+void MapSearch::considerPulls()
+{
+    const double limit = m_rankLoad[m_hottest];
+    for (const auto a : m_slots[m_hottest]) {
+        if (copies(a) < 2) {
+            continue;
+        }
+        const auto &dropped = m_ratings[a];
+        const double others = dropped.lost - (penalty(limit + dropped.rise) - m_penalty[m_hottest]);
+        for (ExpertIndex b = 0; b < m_shape.experts; ++b) {
+            const auto &pulled = m_ratings[b];
+            if (pulled.nextShare < dropped.share && !holds(m_hottest, b)) {
+                const double load = limit + pulled.nextShare - dropped.share;
+                consider({{Edit::Kind::Drop, a, m_hottest}, {Edit::Kind::Put, b, m_hottest}},
+                         moveCost(b, m_hottest),
+                         m_penalty[m_hottest] - penalty(load) - others + pulled.won);
+            }
+        }
+    }
+}
+
+void MapSearch::chooseTargets()
+{
+    m_targets.clear();
+    for (std::uint32_t r = 0; r < m_shape.ranks; ++r) {
+        m_targets.push_back(r);
+    }
+    if (m_targets.size() > largestTargetCount) {
+        std::nth_element(m_targets.begin(),
+                         m_targets.begin() + largestTargetCount,
+                         m_targets.end(),
+                         [&](std::uint32_t a, std::uint32_t b) {
+                             return std::tie(m_rankLoad[a], a) < std::tie(m_rankLoad[b], b);
+                         });
+        m_targets.resize(largestTargetCount);
+    }
+}
+
+void MapSearch::considerCopies(std::size_t rank)
+{
+    for (const auto a : m_slots[m_hottest]) {
+        if (!holds(rank, a)) {
+            considerReplacements(rank, a);
+            if (m_slots[rank].size() < m_shape.slots) {
+                considerFreeSlot(rank, a);
+            }
+        }
+    }
+}
+
+void MapSearch::considerSwaps(std::size_t rank)
+{
+    // No swap gains more than one that makes the two loads equal.
+    const double limit = m_rankLoad[m_hottest];
+    const double before = m_penalty[m_hottest] + m_penalty[rank];
+    if (before - 2.0 * penalty((limit + m_rankLoad[rank]) / 2.0) <= 2.0 * m_bestRate) {
+        return;
+    }
+    for (const auto a : m_slots[m_hottest]) {
+        if (holds(rank, a)) {
+            continue;
+        }
+        for (const auto b : m_slots[rank]) {
+            const double lowered = m_ratings[a].share - m_ratings[b].share;
+            if (lowered <= 0.0 || m_rankLoad[rank] + lowered >= limit || holds(m_hottest, b)) {
+                continue;
+            }
+            const double gain = before - penalty(limit - lowered) - penalty(m_rankLoad[rank] + lowered);
+            consider({{Edit::Kind::Drop, a, m_hottest},
+                      {Edit::Kind::Drop, b, rank},
+                      {Edit::Kind::Put, a, rank},
+                      {Edit::Kind::Put, b, m_hottest}},
+                     moveCost(a, rank) + moveCost(b, m_hottest),
+                     gain);
+        }
+    }
+}
+
+void MapSearch::considerReplacements(std::size_t rank, ExpertIndex expert)
+{
+    const auto &added = m_ratings[expert];
+    for (const auto x : m_slots[rank]) {
+        const auto &dropped = m_ratings[x];
+        const double load = m_rankLoad[rank] + added.nextShare - dropped.share;
+        if (copies(x) < 2 || load >= m_rankLoad[m_hottest]) {
+            continue;
+        }
+        const double others = dropped.lost - (penalty(m_rankLoad[rank] + dropped.rise) - m_penalty[rank]);
+        consider({{Edit::Kind::Drop, x, rank}, {Edit::Kind::Put, expert, rank}},
+                 moveCost(expert, rank),
+                 m_penalty[rank] - penalty(load) - others + added.won);
+    }
+}
+
+void MapSearch::considerFreeSlot(std::size_t rank, ExpertIndex expert)
+{
+    const auto &added = m_ratings[expert];
+    const double limit = m_rankLoad[m_hottest];
+    const double relocated = m_rankLoad[rank] + added.share;
+    if (relocated < limit) {
+        consider({{Edit::Kind::Put, expert, rank}, {Edit::Kind::Drop, expert, m_hottest}},
+                 moveCost(expert, rank),
+                 m_penalty[m_hottest] + m_penalty[rank] - penalty(limit - added.share) - penalty(relocated));
+    }
+    const double joined = m_rankLoad[rank] + added.nextShare;
+    if (joined < limit) {
+        consider(
+            {{Edit::Kind::Put, expert, rank}}, moveCost(expert, rank), m_penalty[rank] - penalty(joined) + added.won);
+    }
+}
+
+void MapSearch::consider(std::initializer_list<Edit> edits, double cost, double gain)
+{
+    const double rate = gain / std::max(cost, undoCost);
+    if (gain > smallestGain && rate > m_bestRate) {
+        m_bestRate = rate;
+        m_best.count = edits.size();
+        std::copy(edits.begin(), edits.end(), m_best.edits.begin());
+    }
+}
+
+void MapSearch::apply(const Edit &edit)
+{
+    m_edits.push_back(edit);
+    auto &holders = m_holders[edit.expert];
+    const double before = holders.empty() ? 0.0 : share(edit.expert, holders.size());
+    const bool isPut = edit.kind == Edit::Kind::Put;
+    const auto rank = static_cast<std::uint32_t>(edit.rank);
+    m_held[edit.rank * m_shape.experts + edit.expert] = isPut ? 1 : 0;
+    const bool isMove = moveCost(edit.expert, edit.rank) > 0.0;
+    if (isPut) {
+        m_moves += isMove ? 1 : 0;
+        m_slots[edit.rank].push_back(edit.expert);
+    } else {
+        m_moves -= isMove ? 1 : 0;
+        eraseValue(m_slots[edit.rank], edit.expert);
+        eraseValue(holders, rank);
+        m_rankLoad[edit.rank] -= before;
+        m_penalty[edit.rank] = penalty(m_rankLoad[edit.rank]);
+    }
+    const std::size_t after = holders.size() + (isPut ? 1 : 0);
+    for (const auto r : holders) {
+        m_rankLoad[r] += share(edit.expert, after) - before;
+        m_penalty[r] = penalty(m_rankLoad[r]);
+    }
+    if (isPut) {
+        holders.push_back(rank);
+        m_rankLoad[edit.rank] += share(edit.expert, after);
+        m_penalty[edit.rank] = penalty(m_rankLoad[edit.rank]);
+    }
+}
+
+} // namespace turmericline
