Spread the configuration document between entries and agents

Cause: every process read the configuration service by itself, which at the target size would be 9,000 watches, and a process that could not reach the service never got a new document. Change: ConfigSync holds the document store, exchanges announcements (msgpack over HTTP/2) with the ring neighbour and a random entry of another domain each second and at once after a change, and sends patches; entries tell agents. The watch policy decides who reads the service. Servers of a fleet script have their own names, because agents of one server exclude each other on a host. Ruled out: announcing to connected agents only.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,6 +3,8 @@
 
 fleet_dir=$(mktemp -d)
 fleet_pids=()
+# Agents of one server exclude each other on a host, so every fleet has its own server names.
+tag=$$
 peer_key="demo:$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')"
 
 # start NAME COMMAND...: runs the command in the background; its ports are then read with port_of.
@@ -44,15 +46,15 @@
 write_document() {
     local servers="" d
     for d in 1 2 3; do
-        servers+="{\"name\":\"m$d\",\"service\":\"assistant\",\"domain\":\"d$d\",\"agent\":\"127.0.0.1:$(port_of agent-m$d)\",\"state\":\"active\",\"checks_fencing\":true,\"checks_caller\":false,\"slots\":${MODEL_SLOTS:-16}},"
-        servers+="{\"name\":\"s$d\",\"service\":\"controller\",\"domain\":\"d$d\",\"agent\":\"127.0.0.1:$(port_of agent-s$d)\",\"state\":\"active\",\"checks_fencing\":false,\"checks_caller\":false,\"slots\":8},"
+        servers+="{\"name\":\"m$d-$tag\",\"service\":\"assistant\",\"domain\":\"d$d\",\"agent\":\"127.0.0.1:$(port_of agent-m$d)\",\"state\":\"active\",\"checks_fencing\":true,\"checks_caller\":false,\"slots\":${MODEL_SLOTS:-16}},"
+        servers+="{\"name\":\"s$d-$tag\",\"service\":\"controller\",\"domain\":\"d$d\",\"agent\":\"127.0.0.1:$(port_of agent-s$d)\",\"state\":\"active\",\"checks_fencing\":false,\"checks_caller\":false,\"slots\":8},"
     done
     cat <<JSON
 {"version":$1,"key_lifetime_s":${KEY_LIFETIME_S:-120},
  "services":[
   {"name":"assistant","kind":"model","model":"assistant","idempotent":true},
   {"name":"controller","kind":"plain","idempotent":false,
-   "calls":[{"method":"GET","path":"/*","idempotent":true}],"key_owners":["s1","s2","s3"]}],
+   "calls":[{"method":"GET","path":"/*","idempotent":true}],"key_owners":["s1-$tag","s2-$tag","s3-$tag"]}],
  "plans":[{"name":"standard","requests_per_s":${PLAN_REQUESTS:-10000},"tokens_per_s":${PLAN_TOKENS:-10000000},"weight":1,"class":"interactive",
   "services":["assistant","controller"]}],
  "workspaces":[{"name":"lab","keys":["$(key_digest "${DEMO_KEY:-demo-key}")"],"plan":"standard"}],
@@ -75,7 +77,7 @@
             kind=engine
             [ "$name" = "s$d" ] && kind=service
             backend="http://127.0.0.1:$(port_of "$kind-$name")"
-            start "agent-$name" "$bin/turmericline-agent" --server "$name" --domain "d$d" --backend-url "$backend" \
+            start "agent-$name" "$bin/turmericline-agent" --server "$name-$tag" --domain "d$d" --backend-url "$backend" \
                 --config-url "$config_url" --instances-url "$instances_url" --peer-key "$peer_key" --drain-notice-ms 0
         done
     done
--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -30,6 +30,15 @@
     return keys;
 }
 
+/** Agents hear of new documents from entries; they read the service themselves only if no entry speaks to them. */
+WatchSettings agentWatch()
+{
+    WatchSettings settings;
+    settings.watchersPerDomain = 0;
+    settings.silence = std::chrono::seconds(30);
+    return settings;
+}
+
 /** Headers of the backend server's answer that reach the caller. */
 bool isForwarded(std::string_view name)
 {
@@ -62,6 +71,13 @@
     , m_ownership(m_settings.server)
     , m_tls(readKeys(m_settings.peerKeys))
     , m_http(io)
+    , m_document(std::make_shared<const Document>())
+    , m_sync(io,
+             m_tls,
+             {m_settings.server, m_settings.domain, false, m_settings.peers, std::chrono::seconds(1), agentWatch()},
+             [this](const std::shared_ptr<const Document> &document) {
+                 applyDocument(document);
+             })
     , m_queue(FairQueueConfig{.maxLength = static_cast<std::uint32_t>(m_settings.queueLength)})
     , m_peerServer(io,
                    m_tls,
@@ -99,21 +115,30 @@
                  m_http,
                  {m_settings.configUrl, m_settings.instancesUrl},
                  {[this](const std::string &text) {
-                      applyDocument(text);
+                      m_sync.offer(text);
+                  },
+                  [this](ReadResult result) {
+                      m_sync.readEnded(result);
                   },
-                  [] {},
                   [this](const std::vector<InstanceInfo> &instances) {
+                      m_sync.setInstances(instances);
                       m_listedAsLeaving
                           = std::any_of(instances.begin(), instances.end(), [this](const InstanceInfo &it) {
                                 return it.name == m_settings.server && it.isLeaving;
                             });
                   },
                   [this] {
-                      return m_document.version;
+                      return m_sync.newestVersion();
+                  },
+                  [this] {
+                      return m_sync.nextRead();
                   },
-                  {}})
+                  [this] {
+                      return m_sync.isWatcher();
+                  }})
     , m_tickTimer(io)
 {
+    m_sync.start();
     m_platform.start();
     tick();
     logEvent(LogLevel::Info,
@@ -130,8 +155,8 @@
 
 std::uint32_t Agent::slots() const
 {
-    const auto id = m_document.servers.find(m_settings.server);
-    return id.isValid() ? m_document.servers[id].slots : BackendServer{}.slots;
+    const auto id = m_document->servers.find(m_settings.server);
+    return id.isValid() ? m_document->servers[id].slots : BackendServer{}.slots;
 }
 
 std::string Agent::refusalReason() const
@@ -139,11 +164,11 @@
     if (m_drain.phase() != DrainPhase::Serving) {
         return "agent is draining";
     }
-    const auto id = m_document.servers.find(m_settings.server);
+    const auto id = m_document->servers.find(m_settings.server);
     if (!id.isValid()) {
         return "backend server is not in the configuration document";
     }
-    if (m_listedAsLeaving || m_document.servers[id].state != ServerState::Active) {
+    if (m_listedAsLeaving || m_document->servers[id].state != ServerState::Active) {
         return "backend server is not active";
     }
     return {};
@@ -167,7 +192,7 @@
         handleBind(*stream);
     } else if (path == "/hello") {
         handleHello(*stream);
-    } else {
+    } else if (!m_sync.handle(*stream)) {
         refuse(*stream, 404, Verdict::NotRun, "unknown path");
     }
 }
@@ -201,7 +226,9 @@
 {
     auto parsed = parseAgentCall(*stream, AgentCall::Clock::now());
     if (!parsed) {
-        refuse(*stream, 400, Verdict::NotRun, parsed.reason);
+        // An earlier copy of a keyed call may have been read correctly.
+        const auto verdict = stream->header(wire::key).empty() ? Verdict::NotRun : Verdict::MayHaveRun;
+        refuse(*stream, 400, verdict, parsed.reason);
         return;
     }
     auto call = std::make_shared<AgentCall>(std::move(*parsed.value));
@@ -457,25 +484,13 @@
     stream.reply(200, standardHeaders(), status().dump());
 }
 
-void Agent::applyDocument(const std::string &text)
+void Agent::applyDocument(const std::shared_ptr<const Document> &document)
 {
-    auto parse = parseDocument(text);
-    if (!parse.document) {
-        const auto &fault = parse.faults.front();
-        logEvent(LogLevel::Warning,
-                 "configuration document rejected",
-                 {{"faults", parse.faults.size()}, {"path", fault.path}, {"reason", fault.message}});
-        return;
-    }
-    if (parse.document->version <= m_document.version) {
-        return;
-    }
-    m_document = std::move(*parse.document);
+    m_document = document;
     makeLedger();
     m_queue.setSlots(slots());
-    m_ownership.update(m_document, age());
-    m_metrics.setDocument(m_document);
-    logEvent(LogLevel::Info, "configuration in force", {{"version", m_document.version}});
+    m_ownership.update(*m_document, age());
+    m_metrics.setDocument(*m_document);
     dispatch();
 }
 
@@ -485,11 +500,11 @@
         return;
     }
     LedgerSettings ledger;
-    ledger.lifetime = m_document.keyLifetime;
+    ledger.lifetime = m_document->keyLifetime;
     ledger.maxEntries = m_settings.ledgerEntries;
     m_ledger.emplace(m_settings.server, m_incarnation, ledger);
     KeyBinderSettings binder;
-    binder.lifetime = m_document.keyLifetime;
+    binder.lifetime = m_document->keyLifetime;
     // A short lifetime needs a shorter bound on delays too, or the window after a start would be many lifetimes long.
     // Ages travel in whole seconds, so a bound under three seconds would refuse prompt calls.
     constexpr int delayShare = 4;
@@ -526,7 +541,8 @@
 {
     return {{"server", m_settings.server},
             {"domain", m_settings.domain},
-            {"version", m_document.version},
+            {"version", m_document->version},
+            {"configuration", m_sync.status()},
             {"age_s", std::chrono::duration_cast<std::chrono::seconds>(age()).count()},
             {"running", m_queue.running()},
             {"queued", m_queue.waiting()},
--- a/src/agent.h
+++ b/src/agent.h
@@ -2,6 +2,7 @@
 
 #include "agent_call.h"
 #include "agent_settings.h"
+#include "config_sync.h"
 #include "document.h"
 #include "drain.h"
 #include "exclusive_socket.h"
@@ -71,7 +72,7 @@
     void replay(H2ServerStream &stream, const Answer &answer);
 
     void tick();
-    void applyDocument(const std::string &text);
+    void applyDocument(const std::shared_ptr<const Document> &document);
     std::string refusalReason() const; ///< Why no new work is taken; empty if it is.
     std::uint32_t slots() const;
     void makeLedger();
@@ -90,7 +91,8 @@
     PeerTls m_tls;
     HttpClient m_http;
     Metrics m_metrics;
-    Document m_document;
+    std::shared_ptr<const Document> m_document;
+    ConfigSync m_sync;
     bool m_listedAsLeaving = false;
     FairQueue m_queue;
     std::unordered_map<std::uint64_t, Call> m_calls; ///< Waiting and running, by id.
--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t failuresBeforeAvoiding = 2;
 constexpr std::chrono::milliseconds minAvoidTime{500};
 constexpr std::chrono::milliseconds maxAvoidTime{8'000};
+/** Agents of the own domain that are dialled to tell them of a document; bounds the work of a change. */
+constexpr std::size_t maxTold = 64;
 constexpr std::chrono::milliseconds maxAgeOfHeard{1'000};
 
 bool readPair(std::string_view text, std::uint32_t &first, std::uint32_t &second)
@@ -77,9 +79,11 @@
     }
 }
 
-AgentPool::AgentPool(asio::io_context &io, PeerTls &tls)
+AgentPool::AgentPool(asio::io_context &io, PeerTls &tls, std::string domain)
     : m_io(io)
     , m_tls(tls)
+    , m_domain(std::move(domain))
+    , m_random(std::random_device{}())
 {
 }
 
@@ -97,7 +101,7 @@
         peer->name = it.name;
         peer->address = it.agent;
         peer->domain = it.domain;
-        peer->client = std::make_unique<H2Client>(m_io, m_tls, it.agent);
+        peer->client = std::make_shared<H2Client>(m_io, m_tls, it.agent);
         m_peers.emplace(it.name, std::move(peer));
     }
 }
@@ -163,6 +167,24 @@
     return found;
 }
 
+std::vector<std::shared_ptr<H2Client>> AgentPool::clients(bool isRound)
+{
+    std::vector<std::shared_ptr<H2Client>> found;
+    if (isRound) {
+        if (!m_peers.empty()) {
+            std::uniform_int_distribution<std::size_t> pick(0, m_peers.size() - 1);
+            found.push_back(std::next(m_peers.begin(), static_cast<std::ptrdiff_t>(pick(m_random)))->second->client);
+        }
+        return found;
+    }
+    for (const auto &[name, it] : m_peers) {
+        if (it->client->isConnected() || (it->domain == m_domain && found.size() < maxTold)) {
+            found.push_back(it->client);
+        }
+    }
+    return found;
+}
+
 nlohmann::json AgentPool::status(const Document &document) const
 {
     auto rows = nlohmann::json::array();
--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -28,7 +29,7 @@
     std::string name; ///< Of the backend server.
     std::string address;
     std::string domain;
-    std::unique_ptr<H2Client> client;
+    std::shared_ptr<H2Client> client;
     std::uint32_t inFlight = 0; ///< Requests of this entry.
     std::uint32_t reportedRunning = 0;
     std::uint32_t reportedQueued = 0;
@@ -47,7 +48,7 @@
 class AgentPool
 {
 public:
-    AgentPool(asio::io_context &io, PeerTls &tls);
+    AgentPool(asio::io_context &io, PeerTls &tls, std::string domain);
 
     void setDocument(const Document &document);
     void setInstances(const std::vector<InstanceInfo> &instances);
@@ -59,13 +60,17 @@
     /** Makes sure that incarnation and age were heard a short while ago; @p done gets false if the agent is silent. */
     static void refreshAge(const std::shared_ptr<AgentPeer> &peer, std::function<void(bool isKnown)> done);
     bool isListedLeaving(std::string_view server) const;
+    /** One random connection for a round of gossip, or all that are open and some of the own failure domain. */
+    std::vector<std::shared_ptr<H2Client>> clients(bool isRound);
     nlohmann::json status(const Document &document) const;
 
 private:
     asio::io_context &m_io;
     PeerTls &m_tls;
+    std::string m_domain;
     std::unordered_map<std::string, std::shared_ptr<AgentPeer>, StringHash, std::equal_to<>> m_peers;
     std::unordered_set<std::string, StringHash, std::equal_to<>> m_listedLeaving;
+    std::mt19937_64 m_random;
 };
 
 /** Reads "INCARNATION.TICK" with the incarnation in hexadecimal. */
--- /dev/null
+++ b/src/config_sync.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "config_store.h"
+#include "config_watch.h"
+#include "h2_client.h"
+#include "h2_server.h"
+#include "platform_client.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+struct ConfigSyncSettings
+{
+    std::string name;
+    std::string domain;
+    bool isEntry = true; ///< Entries gossip with each other; agents are told by entries.
+    std::vector<std::string> seeds; ///< Peers to ask before the instance list is known.
+    std::chrono::milliseconds interval{1'000};
+    WatchSettings watch;
+};
+
+/**
+ * Keeps the configuration document of a process up to date, from the configuration service and from peers. Each round
+ * an entry exchanges announcements with its neighbour in the ring of its failure domain and with a random entry of
+ * another domain, and a document that comes into force is announced at once.
+ */
+class ConfigSync
+{
+public:
+    using Clock = std::chrono::steady_clock;
+    using AppliedHandler = std::function<void(const std::shared_ptr<const Document> &document)>;
+    /** Connections to agents that should be told of a new document; only some of them if @p isRound. */
+    using AgentSource = std::function<std::vector<std::shared_ptr<H2Client>>(bool isRound)>;
+
+    ConfigSync(asio::io_context &io, PeerTls &tls, ConfigSyncSettings settings, AppliedHandler onApplied);
+
+    void setAgentSource(AgentSource source);
+    void start();
+    void setInstances(const std::vector<InstanceInfo> &instances);
+    /** Answers /gossip, /query and /document; returns false for other paths. */
+    bool handle(H2ServerStream &stream);
+
+    // For the watch of the configuration service.
+    void offer(const std::string &text);
+    void readEnded(ReadResult result);
+    Clock::time_point nextRead() const;
+    bool isWatcher() const;
+    std::uint64_t newestVersion() const;
+
+    nlohmann::json status() const;
+
+private:
+    void round();
+    void announce(const std::shared_ptr<H2Client> &peer);
+    void announceToAgents(bool isRound);
+    std::vector<std::shared_ptr<H2Client>> roundPeers();
+    std::shared_ptr<H2Client> client(const std::string &address);
+    std::string message() const;
+    void onMessage(const nlohmann::json &message);
+    void onAnswer(const std::shared_ptr<H2Client> &peer, const std::string &body);
+    void push(const std::shared_ptr<H2Client> &peer, const DocumentQuery &query);
+    void
+    pull(const std::shared_ptr<H2Client> &peer, const DocumentQuery &query, const DocumentAnnouncement &announcement);
+    void takeUpdate(const std::string &update, const DocumentAnnouncement &announcement);
+    void afterApply(const ApplyOutcome &outcome, std::string_view source);
+
+    asio::io_context &m_io;
+    PeerTls &m_tls;
+    ConfigSyncSettings m_settings;
+    AppliedHandler m_onApplied;
+    AgentSource m_agents;
+    ConfigStore m_store;
+    ConfigWatchPolicy m_watch;
+    std::mt19937_64 m_random;
+    std::vector<InstanceInfo> m_entries; ///< Live ones, sorted by name.
+    std::map<std::string, std::shared_ptr<H2Client>> m_clients; ///< By address.
+    asio::steady_timer m_timer;
+};
+
+} // namespace turmericline
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -44,7 +44,14 @@
     , m_settings(std::move(settings))
     , m_tls(readKeys(m_settings.peerKeys))
     , m_http(io)
-    , m_agents(io, m_tls)
+    , m_document(std::make_shared<const Document>())
+    , m_agents(io, m_tls, m_settings.domain)
+    , m_sync(io,
+             m_tls,
+             {m_settings.name, m_settings.domain, true, m_settings.peers, std::chrono::seconds(1), {}},
+             [this](const std::shared_ptr<const Document> &document) {
+                 applyDocument(document);
+             })
     , m_tickets(m_agents, m_settings.domain)
     , m_context{io,
                 m_settings,
@@ -101,20 +108,32 @@
                  m_http,
                  {m_settings.configUrl, m_settings.instancesUrl},
                  {[this](const std::string &text) {
-                      applyDocument(text);
+                      m_sync.offer(text);
+                  },
+                  [this](ReadResult result) {
+                      m_sync.readEnded(result);
                   },
-                  [] {},
                   [this](const std::vector<InstanceInfo> &instances) {
                       m_agents.setInstances(instances);
+                      m_sync.setInstances(instances);
+                  },
+                  [this] {
+                      return m_sync.newestVersion();
                   },
                   [this] {
-                      return m_document.version;
+                      return m_sync.nextRead();
                   },
-                  {}})
+                  [this] {
+                      return m_sync.isWatcher();
+                  }})
     , m_tickTimer(io)
     , m_lastTick(std::chrono::steady_clock::now())
     , m_previousTick(m_lastTick)
 {
+    m_sync.setAgentSource([this](bool isRound) {
+        return m_agents.clients(isRound);
+    });
+    m_sync.start();
     m_platform.start();
     tick();
     logEvent(LogLevel::Info,
@@ -126,12 +145,12 @@
 
 bool Entry::isReady() const
 {
-    return m_document.version != 0 && m_drain.phase() == DrainPhase::Serving;
+    return m_document->version != 0 && m_drain.phase() == DrainPhase::Serving;
 }
 
 void Entry::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    if (m_document.version == 0) {
+    if (m_document->version == 0) {
         sendRefusal(*responder,
                     {503,
                      "not_ready",
@@ -148,7 +167,7 @@
         handleTicket(request, responder);
         return;
     }
-    auto read = readCallerRequest(m_document, m_settings, request);
+    auto read = readCallerRequest(*m_document, m_settings, request);
     if (const auto *refusal = std::get_if<Refusal>(&read)) {
         sendRefusal(*responder, *refusal);
         return;
@@ -188,16 +207,16 @@
 
 void Entry::handleModels(const HttpRequest &request, HttpResponder &responder) const
 {
-    const auto workspace = authenticate(m_document, request);
+    const auto workspace = authenticate(*m_document, request);
     if (const auto *refusal = std::get_if<Refusal>(&workspace)) {
         sendRefusal(responder, *refusal);
         return;
     }
     auto data = nlohmann::json::array();
-    const auto &plan = m_document.plans[m_document.workspaces[std::get<Id<Workspace>>(workspace)].plan];
+    const auto &plan = m_document->plans[m_document->workspaces[std::get<Id<Workspace>>(workspace)].plan];
     for (const auto id : plan.services) {
-        if (m_document.services[id].kind == ServiceKind::Model) {
-            data.push_back({{"id", m_document.services[id].model}, {"object", "model"}, {"owned_by", "turmericline"}});
+        if (m_document->services[id].kind == ServiceKind::Model) {
+            data.push_back({{"id", m_document->services[id].model}, {"object", "model"}, {"owned_by", "turmericline"}});
         }
     }
     responder.reply(200,
@@ -207,17 +226,17 @@
 
 void Entry::handleTicket(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    const auto workspace = authenticate(m_document, request);
+    const auto workspace = authenticate(*m_document, request);
     if (const auto *refusal = std::get_if<Refusal>(&workspace)) {
         sendRefusal(*responder, *refusal);
         return;
     }
-    const auto service = readTicketRequest(m_document, std::get<Id<Workspace>>(workspace), request);
+    const auto service = readTicketRequest(*m_document, std::get<Id<Workspace>>(workspace), request);
     if (const auto *refusal = std::get_if<Refusal>(&service)) {
         sendRefusal(*responder, *refusal);
         return;
     }
-    m_tickets.issue(m_document, std::get<Id<Service>>(service), responder);
+    m_tickets.issue(*m_document, std::get<Id<Service>>(service), responder);
 }
 
 void Entry::tick()
@@ -233,29 +252,19 @@
     });
 }
 
-void Entry::handlePeer(H2ServerStream &stream) const
+void Entry::handlePeer(H2ServerStream &stream)
 {
-    stream.reply(404, {}, {});
+    if (!m_sync.handle(stream)) {
+        stream.reply(404, {}, {});
+    }
 }
 
-void Entry::applyDocument(const std::string &text)
+void Entry::applyDocument(const std::shared_ptr<const Document> &document)
 {
-    auto parse = parseDocument(text);
-    if (!parse.document) {
-        const auto &fault = parse.faults.front();
-        logEvent(LogLevel::Warning,
-                 "configuration document rejected",
-                 {{"faults", parse.faults.size()}, {"path", fault.path}, {"reason", fault.message}});
-        return;
-    }
-    if (parse.document->version <= m_document.version) {
-        return;
-    }
-    m_document = std::move(*parse.document);
+    m_document = document;
     m_documentSince = std::chrono::steady_clock::now();
-    m_agents.setDocument(m_document);
-    m_metrics.setDocument(m_document);
-    logEvent(LogLevel::Info, "configuration in force", {{"version", m_document.version}});
+    m_agents.setDocument(*m_document);
+    m_metrics.setDocument(*m_document);
 }
 
 nlohmann::json Entry::status() const
@@ -264,12 +273,13 @@
     return {{"name", m_settings.name},
             {"domain", m_settings.domain},
             {"ready", isReady()},
-            {"version", m_document.version},
+            {"version", m_document->version},
             {"version_age_s", std::chrono::duration_cast<std::chrono::seconds>(age).count()},
             {"calls", m_calls.size()},
             {"connections", m_callers.connectionCount()},
+            {"configuration", m_sync.status()},
             {"platform_calls", m_platform.callCount()},
-            {"servers", m_agents.status(m_document)}};
+            {"servers", m_agents.status(*m_document)}};
 }
 
 } // namespace turmericline
--- a/src/entry.h
+++ b/src/entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent_pool.h"
+#include "config_sync.h"
 #include "drain.h"
 #include "entry_call.h"
 #include "entry_settings.h"
@@ -48,8 +49,8 @@
     void startCall(CallerRequest request, std::uint64_t connection, const std::shared_ptr<HttpResponder> &responder);
     void onConnectionClosed(std::uint64_t connection);
     void tick();
-    void handlePeer(H2ServerStream &stream) const;
-    void applyDocument(const std::string &text);
+    void handlePeer(H2ServerStream &stream);
+    void applyDocument(const std::shared_ptr<const Document> &document);
     bool isReady() const;
     nlohmann::json status() const;
 
@@ -58,9 +59,10 @@
     PeerTls m_tls;
     HttpClient m_http;
     Metrics m_metrics;
-    Document m_document;
+    std::shared_ptr<const Document> m_document;
     std::chrono::steady_clock::time_point m_documentSince;
     AgentPool m_agents;
+    ConfigSync m_sync;
     TicketIssuer m_tickets;
     EntryContext m_context;
     std::unordered_map<const EntryCall *, std::shared_ptr<EntryCall>> m_calls;
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -71,11 +71,11 @@
 
 std::shared_ptr<AgentPeer> EntryCall::chooseServer() const
 {
-    const auto service = m_context.document.services.find(m_request.service);
+    const auto service = m_context.document->services.find(m_request.service);
     if (!service.isValid()) {
         return nullptr;
     }
-    const auto found = m_context.agents.candidates(m_context.document, service, m_tried);
+    const auto found = m_context.agents.candidates(*m_context.document, service, m_tried);
     const auto now = Clock::now();
     const auto cost = [&](const std::shared_ptr<AgentPeer> &peer) {
         const auto avoided = now < peer->avoidUntil ? 1'000'000U : 0U;
@@ -116,9 +116,9 @@
     add(wire::fingerprint, m_request.fingerprint);
     add(wire::budgetMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     add(wire::cost, std::to_string(m_request.expectedTokens()));
-    if (const auto plan = m_context.document.plans.find(m_request.plan); plan.isValid()) {
+    if (const auto plan = m_context.document->plans.find(m_request.plan); plan.isValid()) {
         constexpr double weightUnit = 1'000;
-        add(wire::weight, std::to_string(std::llround(m_context.document.plans[plan].weight * weightUnit)));
+        add(wire::weight, std::to_string(std::llround(m_context.document->plans[plan].weight * weightUnit)));
     }
     add(wire::idempotent, m_request.isIdempotent ? "1" : "0");
     if (m_ticket) {
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -24,7 +24,7 @@
 {
     asio::io_context &io;
     const EntrySettings &settings;
-    const Document &document;
+    const std::shared_ptr<const Document> &document;
     AgentPool &agents;
     Metrics &metrics;
     /** A moment before any request that is read now can have arrived, also if this process was frozen. */
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -63,8 +63,8 @@
 
 void EntryCall::sendBind(bool isSeal)
 {
-    const auto service = m_context.document.services.find(m_request.service);
-    const auto *const owners = service.isValid() ? &m_context.document.services[service].keyOwners : nullptr;
+    const auto service = m_context.document->services.find(m_request.service);
+    const auto *const owners = service.isValid() ? &m_context.document->services[service].keyOwners : nullptr;
     if (owners == nullptr || owners->empty()) {
         perform(m_keyed->giveUp("the service has no owners of plain keys"));
         return;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -177,6 +177,35 @@
     virtual void close() = 0;
 };
 
+/**
+ * Keeps the servers whose HttpServer is gone until the io_context has dropped their connections, because each
+ * connection refers to its server's connection counter up to its own destruction.
+ */
+class RetiredServers final : public asio::execution_context::service
+{
+public:
+    using key_type = RetiredServers; // NOLINT(readability-identifier-naming)
+    static inline asio::execution_context::id id;
+
+    explicit RetiredServers(asio::execution_context &context)
+        : asio::execution_context::service(context)
+    {
+    }
+
+    void add(std::unique_ptr<ServerBase> server)
+    {
+        m_servers.push_back(std::move(server));
+    }
+
+private:
+    void shutdown() override
+    {
+        // Not here: the services that hold the connections are shut down later.
+    }
+
+    std::vector<std::unique_ptr<ServerBase>> m_servers;
+};
+
 template<typename Traits>
 struct ServerHolder final : public ServerBase
 {
@@ -243,6 +272,7 @@
 
 struct HttpServer::Impl
 {
+    asio::io_context *io = nullptr;
     std::shared_ptr<ConnectionTable> connections = std::make_shared<ConnectionTable>();
     std::uint16_t port = 0;
     std::unique_ptr<ServerBase> server;
@@ -254,6 +284,7 @@
                        CloseHandler onClose)
     : m_impl(std::make_unique<Impl>())
 {
+    m_impl->io = &io;
     m_impl->connections->onClose = std::move(onClose);
     if (config.tls) {
         auto settings = makeSettings<TlsTraits>(config, handler, m_impl->connections, m_impl->port);
@@ -269,6 +300,8 @@
 {
     // Connections outlive the server object, so they must not call into the owner any more.
     m_impl->connections->onClose = {};
+    m_impl->server->close();
+    asio::use_service<RetiredServers>(*m_impl->io).add(std::move(m_impl->server));
 }
 
 std::uint16_t HttpServer::port() const
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <memory>
 
 namespace turmericline {
@@ -11,8 +12,21 @@
 namespace {
 
 constexpr std::size_t maxPlatformBytes = 4U << 20U;
-/** Allowed on top of the time a watch may wait. */
 constexpr std::chrono::milliseconds answerSlack{5'000};
+/** Slow reads must not add up beyond the budget of the configuration service. */
+constexpr std::chrono::milliseconds readTimeout{2'000};
+
+/** Version in the header X-Version; 0 if there is none. */
+std::uint64_t servedVersion(const HttpHeaders &headers)
+{
+    std::uint64_t version = 0;
+    for (const auto &[name, value] : headers) {
+        if (name == "X-Version" || name == "x-version") {
+            std::from_chars(value.data(), value.data() + value.size(), version);
+        }
+    }
+    return version;
+}
 
 } // namespace
 
@@ -22,7 +36,6 @@
     , m_handlers(std::move(handlers))
     , m_watchTimer(io)
     , m_instancesTimer(io)
-    , m_retry(m_config.minRetry)
 {
 }
 
@@ -35,61 +48,72 @@
 void PlatformClient::start()
 {
     if (!m_config.configUrl.empty()) {
-        watch();
+        scheduleRead();
     }
     if (!m_config.instancesUrl.empty()) {
         pollInstances();
     }
 }
 
-void PlatformClient::watch()
+void PlatformClient::scheduleRead()
+{
+    m_watchTimer.expires_at(m_handlers.nextRead());
+    m_watchTimer.async_wait([this](asio::error_code ec) {
+        if (ec) {
+            return;
+        }
+        // A confirmation that arrived meanwhile may have moved the time of the next read.
+        if (std::chrono::steady_clock::now() < m_handlers.nextRead()) {
+            scheduleRead();
+        } else {
+            read();
+        }
+    });
+}
+
+void PlatformClient::read()
 {
-    if (m_handlers.isWatcher && !m_handlers.isWatcher()) {
-        watchAgain(false);
-        return;
-    }
     const auto known = m_handlers.knownVersion();
     HttpClientRequest request;
-    request.url = m_config.configUrl + "/v1/document";
-    if (known != 0) {
-        request.url += "?after=" + std::to_string(known) + "&wait_ms=" + std::to_string(m_config.watchWait.count());
+    request.url = m_config.configUrl + "/v1/document?after=" + std::to_string(known);
+    const bool isWatch = known != 0 && m_handlers.isWatcher();
+    if (isWatch) {
+        request.url += "&wait_ms=" + std::to_string(m_config.watchWait.count());
     }
-    request.totalTimeout = m_config.watchWait + answerSlack;
+    request.totalTimeout = (isWatch ? m_config.watchWait : std::chrono::milliseconds(0)) + readTimeout;
     request.maxBytes = maxPlatformBytes;
     ++m_calls;
     auto body = std::make_shared<std::string>();
+    auto served = std::make_shared<std::uint64_t>(0);
     m_watchRequest = m_http.start(std::move(request),
-                                  {{},
+                                  {[served](int, const HttpHeaders &headers) {
+                                       *served = servedVersion(headers);
+                                   },
                                    [body](std::string_view chunk) {
                                        if (body->size() + chunk.size() <= maxPlatformBytes) {
                                            body->append(chunk);
                                        }
                                    },
-                                   [this, body](const HttpClientResult &result) {
-                                       const bool ok
-                                           = result.complete && (result.status == 200 || result.status == 304);
-                                       if (ok && result.status == 200) {
-                                           m_handlers.onDocument(std::move(*body));
-                                       } else if (ok) {
-                                           m_handlers.onConfirmed();
-                                       } else {
-                                           logEvent(LogLevel::Warning,
-                                                    "configuration service did not answer",
-                                                    {{"status", result.status}, {"reason", result.error}});
-                                       }
-                                       watchAgain(!ok);
+                                   [this, body, served, known](const HttpClientResult &result) {
+                                       onRead(result, std::move(*body), known, *served);
                                    }});
 }
 
-void PlatformClient::watchAgain(bool failed)
+void PlatformClient::onRead(const HttpClientResult &result, std::string body, std::uint64_t known, std::uint64_t served)
 {
-    m_retry = failed ? std::min(2 * m_retry, m_config.maxRetry) : m_config.minRetry;
-    m_watchTimer.expires_after(m_retry);
-    m_watchTimer.async_wait([this](asio::error_code ec) {
-        if (!ec) {
-            watch();
-        }
-    });
+    auto ended = ReadResult::Failed;
+    if (result.complete && result.status == 200) {
+        m_handlers.onDocument(std::move(body));
+        ended = served >= known ? ReadResult::Confirmed : ReadResult::Stale;
+    } else if (result.complete && result.status == 304) {
+        ended = served >= known ? ReadResult::Confirmed : ReadResult::Stale;
+    } else {
+        logEvent(LogLevel::Warning,
+                 "configuration service did not answer",
+                 {{"status", result.status}, {"reason", result.error}});
+    }
+    m_handlers.onReadEnded(ended);
+    scheduleRead();
 }
 
 void PlatformClient::pollInstances()
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config_watch.h"
 #include "http_client.h"
 #include "verdict_type.h"
 
@@ -27,9 +28,7 @@
 {
     std::string configUrl; ///< Empty: no configuration service is asked.
     std::string instancesUrl; ///< Empty: no instance list is read.
-    std::chrono::milliseconds watchWait{20'000};
-    std::chrono::milliseconds minRetry{200};
-    std::chrono::milliseconds maxRetry{5'000};
+    std::chrono::milliseconds watchWait{1'000};
     std::chrono::milliseconds instancesInterval{1'000};
 };
 
@@ -40,12 +39,11 @@
     struct Handlers
     {
         std::function<void(std::string text)> onDocument;
-        /** The service confirmed that it has nothing newer than what was asked for. */
-        std::function<void()> onConfirmed;
+        std::function<void(ReadResult result)> onReadEnded;
         std::function<void(std::vector<InstanceInfo> instances)> onInstances;
         /** Highest version known to this process, which the watch asks for changes of. */
         std::function<std::uint64_t()> knownVersion;
-        /** Whether this process should watch now; asked before each call. */
+        std::function<std::chrono::steady_clock::time_point()> nextRead;
         std::function<bool()> isWatcher;
     };
 
@@ -61,8 +59,9 @@
     }
 
 private:
-    void watch();
-    void watchAgain(bool failed);
+    void scheduleRead();
+    void read();
+    void onRead(const HttpClientResult &result, std::string body, std::uint64_t known, std::uint64_t served);
     void pollInstances();
 
     HttpClient &m_http;
@@ -72,7 +71,6 @@
     asio::steady_timer m_instancesTimer;
     HttpClient::RequestId m_watchRequest = 0;
     HttpClient::RequestId m_instancesRequest = 0;
-    std::chrono::milliseconds m_retry;
     std::uint64_t m_calls = 0;
 };
 
