--- a/bench/bench_queue.cpp
+++ b/bench/bench_queue.cpp
@@ -53,7 +53,7 @@
     Latencies run()
     {
         for (int i = 0; i < smallWorkspaces; ++i) {
-            generate(static_cast<WorkspaceKey>(i + 1),
+            generate(static_cast<WorkspaceKey>(i) + 1,
                      RequestClass::Interactive,
                      m_case.smallLoad * capacity / smallWorkspaces);
         }
--- a/bench/bench_quota.cpp
+++ b/bench/bench_quota.cpp
@@ -165,7 +165,7 @@
                 if (!owner.isAlive) {
                     return;
                 }
-                const auto grant = owner.state->onLeaseRequest(now(), static_cast<EntryKey>(entry + 1), it, limit);
+                const auto grant = owner.state->onLeaseRequest(now(), static_cast<EntryKey>(entry) + 1, it, limit);
                 if (!grant) {
                     return;
                 }
--- a/bench/bench_retry.cpp
+++ b/bench/bench_retry.cpp
@@ -55,7 +55,7 @@
         , m_rate(load * domains * slotsPerDomain / serviceTime)
         , m_random(seed)
         , m_servers(domains)
-        , m_budgets(domains * entriesPerDomain)
+        , m_budgets(static_cast<std::size_t>(domains) * entriesPerDomain)
         , seconds(static_cast<std::size_t>(endAt) + 1)
     {
     }
--- a/tests/unit_fair_queue_test.cpp
+++ b/tests/unit_fair_queue_test.cpp
@@ -17,20 +17,20 @@
     CPPUNIT_TEST(batchIsNotStarved);
     CPPUNIT_TEST_SUITE_END();
 
-    const TimePoint now{1000s};
+    const TimePoint m_now{1000s};
     std::vector<QueuedCall> m_out;
     std::uint64_t m_id = 0;
 
     QueueVerdict offer(FairQueue &queue, WorkspaceKey workspace, RequestClass c, TimePoint deadline = TimePoint::max())
     {
-        return queue.offer(now, {++m_id, workspace, c, 100, 1, deadline}, m_out).verdict;
+        return queue.offer(m_now, {++m_id, workspace, c, 100, 1, deadline}, m_out).verdict;
     }
 
     std::optional<QueuedCall> runNext(FairQueue &queue)
     {
-        const auto call = queue.start(now, m_out);
+        const auto call = queue.start(m_now, m_out);
         if (call) {
-            queue.finish(now + 100ms, call->id);
+            queue.finish(m_now + 100ms, call->id);
         }
         return call;
     }
@@ -54,12 +54,12 @@
             offer(queue, 1, RequestClass::Interactive);
         }
         int started = 0;
-        while (queue.start(now, m_out)) {
+        while (queue.start(m_now, m_out)) {
             ++started;
         }
         CPPUNIT_ASSERT_EQUAL(3, started);
         offer(queue, 2, RequestClass::Urgent);
-        CPPUNIT_ASSERT(queue.start(now, m_out)->requestClass == RequestClass::Urgent);
+        CPPUNIT_ASSERT(queue.start(m_now, m_out)->requestClass == RequestClass::Urgent);
     }
 
     void shedsBatchBeforeInteractive()
@@ -92,12 +92,12 @@
         for (int i = 0; i < 10; ++i) {
             offer(queue, 1, RequestClass::Interactive);
         }
-        queue.start(now, m_out);
+        queue.start(m_now, m_out);
         // Ten calls of 100 ms are ahead in its own workspace.
-        const auto decision = queue.offer(now, {99, 1, RequestClass::Interactive, 100, 1, now + 500ms}, m_out);
+        const auto decision = queue.offer(m_now, {99, 1, RequestClass::Interactive, 100, 1, m_now + 500ms}, m_out);
         CPPUNIT_ASSERT(decision.verdict == QueueVerdict::TooLate);
         CPPUNIT_ASSERT(decision.retryAfter >= 500ms && decision.retryAfter <= 1100ms);
-        CPPUNIT_ASSERT(offer(queue, 1, RequestClass::Interactive, now + 1500ms) == QueueVerdict::Queued);
+        CPPUNIT_ASSERT(offer(queue, 1, RequestClass::Interactive, m_now + 1500ms) == QueueVerdict::Queued);
     }
 
     void batchIsNotStarved()
--- a/tests/unit_quota_test.cpp
+++ b/tests/unit_quota_test.cpp
@@ -17,7 +17,7 @@
 
     static constexpr QuotaAmount even{2, 200};
     static constexpr QuotaAmount limit{100, 100'000};
-    const TimePoint start{1000s};
+    const TimePoint m_start{1000s};
 
     /** Spends once to get a lease request and grants it @p amount. */
     static void lease(QuotaClient &client, TimePoint now, const QuotaAmount &amount)
@@ -38,11 +38,11 @@
     void unspentLeaseLapses()
     {
         QuotaClient client;
-        lease(client, start, {50, 5000});
-        CPPUNIT_ASSERT(isAdmitted(client, start + 900ms, 10));
+        lease(client, m_start, {50, 5000});
+        CPPUNIT_ASSERT(isAdmitted(client, m_start + 900ms, 10));
         int admitted = 0;
         for (int i = 0; i < 20; ++i) {
-            admitted += isAdmitted(client, start + 1000ms, 10) ? 1 : 0;
+            admitted += isAdmitted(client, m_start + 1000ms, 10) ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(1, admitted);
     }
@@ -51,11 +51,11 @@
     void tokensAreChargedAndCorrected()
     {
         QuotaClient client;
-        lease(client, start, {50, 1010});
-        CPPUNIT_ASSERT(isAdmitted(client, start, 1000));
-        CPPUNIT_ASSERT(!isAdmitted(client, start, 10));
-        client.correct(start, 1, 1000, 400);
-        CPPUNIT_ASSERT(isAdmitted(client, start, 10));
+        lease(client, m_start, {50, 1010});
+        CPPUNIT_ASSERT(isAdmitted(client, m_start, 1000));
+        CPPUNIT_ASSERT(!isAdmitted(client, m_start, 10));
+        client.correct(m_start, 1, 1000, 400);
+        CPPUNIT_ASSERT(isAdmitted(client, m_start, 10));
     }
 
     /** A lost owner must neither stop a workspace nor lift its limit. */
@@ -63,7 +63,7 @@
     {
         QuotaClient client;
         int admitted = 0;
-        for (auto now = start; now < start + 10s; now += 10ms) {
+        for (auto now = m_start; now < m_start + 10s; now += 10ms) {
             admitted += isAdmitted(client, now, 10) ? 1 : 0;
             client.takeRequests(now);
         }
@@ -77,7 +77,7 @@
         double large = 0;
         double small = 0;
         std::uint32_t sequence = 0;
-        for (auto now = start; now < start + 10s; now += 500ms) {
+        for (auto now = m_start; now < m_start + 10s; now += 500ms) {
             large += owner.onLeaseRequest(now, 1, {1, ++sequence, {1000, 1000}, {}}, limit)->amount.requests;
             small += owner.onLeaseRequest(now, 2, {1, ++sequence, {20, 20}, {}}, limit)->amount.requests;
         }
--- a/tests/unit_retry_test.cpp
+++ b/tests/unit_retry_test.cpp
@@ -17,12 +17,12 @@
     CPPUNIT_TEST(returnTimeGrowsAndSpreads);
     CPPUNIT_TEST_SUITE_END();
 
-    const TimePoint now{1000s};
+    const TimePoint m_now{1000s};
 
     RetryReason decide(Verdict verdict, bool isIdempotent, unsigned attempts = 1, TimePoint deadline = TimePoint::max())
     {
         RetryBudget budget;
-        return RetryPolicy().decide(now, {verdict, isIdempotent, attempts, deadline, 100ms}, budget, 0.5).reason;
+        return RetryPolicy().decide(m_now, {verdict, isIdempotent, attempts, deadline, 100ms}, budget, 0.5).reason;
     }
 
 public:
@@ -38,18 +38,18 @@
     {
         CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 2) == RetryReason::Allowed);
         CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 3) == RetryReason::Attempts);
-        CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 1, now + 109ms) == RetryReason::Deadline);
-        CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 1, now + 110ms) == RetryReason::Allowed);
+        CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 1, m_now + 109ms) == RetryReason::Deadline);
+        CPPUNIT_ASSERT(decide(Verdict::NotRun, true, 1, m_now + 110ms) == RetryReason::Allowed);
     }
 
     void budgetFollowsSuccess()
     {
         RetryBudget budget;
-        CPPUNIT_ASSERT(budget.take(now));
+        CPPUNIT_ASSERT(budget.take(m_now));
         int taken = 0;
         for (int i = 0; i < 1000; ++i) {
             budget.onSuccess();
-            taken += budget.take(now) ? 1 : 0;
+            taken += budget.take(m_now) ? 1 : 0;
         }
         CPPUNIT_ASSERT(taken >= 99 && taken <= 100);
     }
@@ -58,10 +58,10 @@
     void idleEntryEarnsOneRetry()
     {
         RetryBudget budget;
-        CPPUNIT_ASSERT(budget.take(now));
-        CPPUNIT_ASSERT(!budget.take(now + 1s));
-        CPPUNIT_ASSERT(budget.take(now + 300s));
-        CPPUNIT_ASSERT(!budget.take(now + 300s));
+        CPPUNIT_ASSERT(budget.take(m_now));
+        CPPUNIT_ASSERT(!budget.take(m_now + 1s));
+        CPPUNIT_ASSERT(budget.take(m_now + 300s));
+        CPPUNIT_ASSERT(!budget.take(m_now + 300s));
     }
 
     /** A call that must not run twice must not use up the budget of the others. */
@@ -69,7 +69,7 @@
     {
         RetryBudget budget;
         const double before = budget.level();
-        RetryPolicy().decide(now, {Verdict::MayHaveRun, false, 1, TimePoint::max(), 0ms}, budget, 0.5);
+        RetryPolicy().decide(m_now, {Verdict::MayHaveRun, false, 1, TimePoint::max(), 0ms}, budget, 0.5);
         CPPUNIT_ASSERT_EQUAL(before, budget.level());
     }
 
