Enforce workspace limits over all entries with leases

Cause: the limits of plans were read but not enforced. Change: QuotaSync asks the quota owner of a workspace in the failure domain for leases, is owner itself for some, and exchanges shares with other domains; a keyed call that is over the limit is sealed before its caller hears not-run. Ruled out: limit divided by entries, which would give the single entry 20/s.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -52,12 +52,14 @@
              [this](const std::shared_ptr<const Document> &document) {
                  applyDocument(document);
              })
+    , m_quota(io, m_tls, m_settings.name, m_settings.domain)
     , m_tickets(m_agents, m_settings.domain)
     , m_context{io,
                 m_settings,
                 m_document,
                 m_agents,
                 m_metrics,
+                m_quota,
                 [this] {
                     return m_previousTick;
                 },
@@ -116,6 +118,7 @@
                   [this](const std::vector<InstanceInfo> &instances) {
                       m_agents.setInstances(instances);
                       m_sync.setInstances(instances);
+                      m_quota.setInstances(instances);
                   },
                   [this] {
                       return m_sync.newestVersion();
@@ -134,6 +137,7 @@
         return m_agents.clients(isRound);
     });
     m_sync.start();
+    m_quota.start();
     m_platform.start();
     tick();
     logEvent(LogLevel::Info,
@@ -254,7 +258,7 @@
 
 void Entry::handlePeer(H2ServerStream &stream)
 {
-    if (!m_sync.handle(stream)) {
+    if (!m_sync.handle(stream) && !m_quota.handle(stream)) {
         stream.reply(404, {}, {});
     }
 }
@@ -265,6 +269,7 @@
     m_documentSince = std::chrono::steady_clock::now();
     m_agents.setDocument(*m_document);
     m_metrics.setDocument(*m_document);
+    m_quota.setDocument(m_document);
 }
 
 nlohmann::json Entry::status() const
@@ -278,6 +283,7 @@
             {"calls", m_calls.size()},
             {"connections", m_callers.connectionCount()},
             {"configuration", m_sync.status()},
+            {"limits", m_quota.status()},
             {"platform_calls", m_platform.callCount()},
             {"servers", m_agents.status(*m_document)}};
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,6 +10,7 @@
 #include "metrics.h"
 #include "ops_server.h"
 #include "platform_client.h"
+#include "quota_sync.h"
 #include "ticket_issuer.h"
 
 #include <asio/io_context.hpp>
@@ -63,6 +64,7 @@
     std::chrono::steady_clock::time_point m_documentSince;
     AgentPool m_agents;
     ConfigSync m_sync;
+    QuotaSync m_quota;
     TicketIssuer m_tickets;
     EntryContext m_context;
     std::unordered_map<const EntryCall *, std::shared_ptr<EntryCall>> m_calls;
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint32_t maxAttempts = 3;
 constexpr std::size_t maxAnswerBytes = 8U << 20U;
 constexpr std::chrono::milliseconds defaultRetryAfter{1'000};
+constexpr std::chrono::milliseconds leastRetryAfter{100};
 
 HttpHeaders callerHeaders(const HttpHeaders &headers)
 {
@@ -63,12 +64,61 @@
     });
     if (!m_request.isIdempotent && !m_request.key.empty()) {
         m_keyed.emplace(m_request.key, m_context.arrival());
+    }
+    const auto tokens = static_cast<double>(m_request.expectedTokens());
+    m_context.quota.admit(
+        m_request.workspace, tokens, [self = shared_from_this()](std::optional<std::chrono::milliseconds> retryAfter) {
+            if (self->m_isDone) {
+                return;
+            }
+            if (retryAfter) {
+                self->onLimited(*retryAfter);
+            } else {
+                self->onAdmitted();
+            }
+        });
+}
+
+void EntryCall::onAdmitted()
+{
+    m_isCharged = true;
+    if (m_keyed) {
         perform(m_keyed->start());
     } else {
         attempt();
     }
 }
 
+void EntryCall::onLimited(std::chrono::milliseconds retryAfter)
+{
+    const Refusal refusal{429,
+                          "rate_limited",
+                          "the workspace has reached its limit",
+                          Verdict::NotRun,
+                          std::max(retryAfter, leastRetryAfter)};
+    if (m_keyed) {
+        // An earlier copy of the key may have run, so only its owner can say not-run.
+        m_refusal = refusal;
+        perform(m_keyed->refuse(refusal.message));
+    } else {
+        giveUp(refusal);
+    }
+}
+
+void EntryCall::settleQuota(Verdict verdict)
+{
+    if (!m_isCharged) {
+        return;
+    }
+    const auto estimated = static_cast<double>(m_request.expectedTokens());
+    if (verdict == Verdict::NotRun) {
+        m_context.quota.refund(m_request.workspace, estimated);
+    } else if (m_request.isStream) {
+        const auto unused = m_request.maxTokens > m_relay.nextOffset() ? m_request.maxTokens - m_relay.nextOffset() : 0;
+        m_context.quota.correct(m_request.workspace, estimated, estimated - static_cast<double>(unused));
+    }
+}
+
 std::shared_ptr<AgentPeer> EntryCall::chooseServer() const
 {
     const auto service = m_context.document->services.find(m_request.service);
@@ -370,6 +420,7 @@
 {
     m_isDone = true;
     m_timer.cancel();
+    settleQuota(verdict);
     const auto total = Clock::now() - m_started;
     m_context.metrics.recordRequest(
         {m_request.workspace, m_request.requestClass, verdict, status, total, m_firstToken});
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -4,6 +4,7 @@
 #include "caller_request.h"
 #include "keyed_call.h"
 #include "metrics.h"
+#include "quota_sync.h"
 #include "ticket_type.h"
 #include "token_relay.h"
 
@@ -27,6 +28,7 @@
     const std::shared_ptr<const Document> &document;
     AgentPool &agents;
     Metrics &metrics;
+    QuotaSync &quota;
     /** A moment before any request that is read now can have arrived, also if this process was frozen. */
     std::function<std::chrono::steady_clock::time_point()> arrival;
     std::function<void(const EntryCall &)> onDone;
@@ -45,6 +47,9 @@
     void onCallerGone();
 
 private:
+    void onAdmitted();
+    void onLimited(std::chrono::milliseconds retryAfter);
+    void settleQuota(Verdict verdict);
     void attempt();
     std::shared_ptr<AgentPeer> chooseServer() const;
     void send(const std::shared_ptr<AgentPeer> &peer);
@@ -81,6 +86,8 @@
 
     std::optional<KeyedCall> m_keyed; ///< Set for a non-idempotent call with a key.
     std::optional<Ticket> m_ticket; ///< Of the keyed attempt in flight.
+    bool m_isCharged = false; ///< Against the workspace's limits.
+    std::optional<Refusal> m_refusal; ///< What a keyed call is told once its key is sealed.
     std::uint32_t m_attempts = 0;
     std::vector<std::string> m_tried;
     std::shared_ptr<AgentPeer> m_peer; ///< Of the attempt in flight.
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -45,7 +45,12 @@
         return;
     }
     case KeyedAction::Finish:
-        giveUp({503, "unavailable", step.reason, step.verdict, retryAfterLost});
+        if (m_refusal) {
+            m_refusal->verdict = step.verdict;
+            giveUp(*m_refusal);
+        } else {
+            giveUp({503, "unavailable", step.reason, step.verdict, retryAfterLost});
+        }
         return;
     }
 }
