--- a/src/placement_adaptive.cpp
+++ b/src/placement_adaptive.cpp
@@ -22,6 +22,12 @@
 // Far along a path, stages differ little, so only every fourth is judged.
 constexpr std::size_t denseStages = 8;
 constexpr std::size_t stageInterval = 4;
+// Pure noise has no better map than round robin. The record shows within a few windows if changes fitted noise.
+constexpr double recordMemory = 0.9;
+constexpr double smallestWeight = 0.9;
+constexpr double cautionGrowth = 4.0;
+constexpr double largestCaution = 16.0;
+constexpr double cautionMemory = 0.98;
 
 /** A map on the way from the previous one to the best that a search finds. */
 struct Stage
@@ -32,6 +38,15 @@
     double skew = 0.0;
 };
 
+/** Skew that the map of a layer and the round robin one had in recent windows. */
+struct Record
+{
+    double own = 0.0;
+    double roundRobin = 0.0;
+    double weight = 0.0;
+    double caution = 1.0; ///< Factor of the smallest gain; grows with each return to round robin.
+};
+
 class AdaptivePlacer : public Placer
 {
 public:
@@ -39,6 +54,8 @@
         : Placer(shape, layers)
         , m_options(options)
         , m_forecasts(layers, LoadForecast(shape.experts))
+        , m_records(layers)
+        , m_roundRobin(roundRobinMap(shape))
         , m_search(shape)
     {
         const double priceOfMoves = (1.0 - options.skewWeight) / std::max(options.skewWeight, 1e-9);
@@ -51,13 +68,18 @@
     void decide(std::span<const ExpertLoads> layers, bool held) override
     {
         for (std::size_t l = 0; l < layers.size(); ++l) {
+            keepRecord(l, layers[l]);
             m_forecasts[l].observe(layers[l]);
         }
         if (held || m_options.skewWeight <= 0.0) {
             return;
         }
+        std::size_t budget = m_options.moveBudget.value_or(std::numeric_limits<std::size_t>::max());
+        for (std::size_t l = 0; l < m_maps.size(); ++l) {
+            budget -= returnToRoundRobin(l, budget);
+        }
         if (m_options.moveBudget) {
-            improveWithin(*m_options.moveBudget);
+            improveWithin(budget);
             return;
         }
         for (std::size_t l = 0; l < m_maps.size(); ++l) {
@@ -68,6 +90,32 @@
     }
 
 private:
+    void keepRecord(std::size_t layer, const ExpertLoads &loads)
+    {
+        auto &record = m_records[layer];
+        record.caution = std::max(1.0, record.caution * cautionMemory);
+        // While the layer has the round robin map, there is nothing to compare.
+        if (m_maps[layer] == m_roundRobin) {
+            return;
+        }
+        record.own = recordMemory * record.own + skewOf(m_maps[layer], loads);
+        record.roundRobin = recordMemory * record.roundRobin + skewOf(m_roundRobin, loads);
+        record.weight = recordMemory * record.weight + 1.0;
+    }
+
+    /** Puts a layer back to round robin if its changes have made recent windows worse; returns the moves. */
+    std::size_t returnToRoundRobin(std::size_t layer, std::size_t budget)
+    {
+        auto &record = m_records[layer];
+        const auto moves = movesBetween(m_maps[layer], m_roundRobin);
+        if (record.weight < smallestWeight || record.own <= record.roundRobin || moves > budget) {
+            return 0;
+        }
+        m_maps[layer] = m_roundRobin;
+        record = {0.0, 0.0, 0.0, std::min(record.caution * cautionGrowth, largestCaution)};
+        return moves;
+    }
+
     /** Spends the budget on the layers that gain most. */
     void improveWithin(std::size_t budget)
     {
@@ -104,7 +152,7 @@
         const auto best = std::min_element(m_path.begin(), m_path.end(), [&](const Stage &a, const Stage &b) {
             return cost(a) < cost(b);
         });
-        return cost(*best) < (1.0 - m_smallestGain) * cost(m_path.front()) ? *best : Stage{};
+        return cost(*best) < (1.0 - m_smallestGain * m_records[layer].caution) * cost(m_path.front()) ? *best : Stage{};
     }
 
     /** Returns the last stage on the way to @p goal that the budget allows; later windows go on from there. */
@@ -157,6 +205,8 @@
 
     PlacementOptions m_options;
     std::vector<LoadForecast> m_forecasts;
+    std::vector<Record> m_records;
+    ExpertMap m_roundRobin;
     MapSearch m_search;
     std::vector<Stage> m_path; ///< Stages of the searches of the layer at hand.
     std::array<std::vector<MapSearch::Edit>, 2> m_edits; ///< Edits of the plain and the retargeted search.
