Check the example document in a test, and satisfy the linter

Cause: clang-tidy asks for reserved vectors in unit_config_store_test.cpp (performance-inefficient-vector-operation).

--- a/tests/unit_config_store_test.cpp
+++ b/tests/unit_config_store_test.cpp
@@ -190,10 +190,12 @@
     void fewInstancesWatch()
     {
         std::vector<WatchEntry> fleet;
+        fleet.reserve(130);
         for (int i = 0; i < 130; ++i) {
             fleet.push_back({fmt::format("e{}", i), fmt::format("d{}", i % 13)});
         }
         std::vector<ConfigWatchPolicy> policies;
+        policies.reserve(fleet.size());
         int watchers = 0;
         for (const auto &it : fleet) {
             policies.emplace_back(it, WatchSettings{}, 1, start);
@@ -220,6 +222,7 @@
     {
         constexpr int fleetSize = 9000;
         std::vector<ConfigWatchPolicy> policies;
+        policies.reserve(fleetSize);
         for (int i = 0; i < fleetSize; ++i) {
             policies.emplace_back(WatchEntry{fmt::format("e{}", i), "d0"}, WatchSettings{}, i, start);
             policies.back().setFleet({{"e0", "d0"}, {"e1", "d0"}, {"e2", "d0"}}, fleetSize);
--- a/tests/unit_document_test.cpp
+++ b/tests/unit_document_test.cpp
@@ -189,6 +189,8 @@
         CPPUNIT_ASSERT_EQUAL(1, check({"--previous", stem + "2", stem + "1"}, "$.version"));
         CPPUNIT_ASSERT_EQUAL(1, check({stem + "3"}, "$.plans[0].weight"));
         CPPUNIT_ASSERT_EQUAL(2, check({stem + "4"}, "cannot be read"));
+        const auto root = std::filesystem::path(__FILE__).parent_path().parent_path();
+        CPPUNIT_ASSERT_EQUAL(0, check({root / "examples" / "document.json"}, "10 workspaces"));
         std::filesystem::remove_all(directory);
     }
 };
