Test that a leaving server gets no new work

Cause: I5 was not tested on the daemons. Under constant load a server is set leaving by the document, and in a second case by the instance list alone. Once every entry and its agent show the new state, the fake engine must count none of 90 further requests, and its long streams must end whole.

--- /dev/null
+++ b/tests/holds_leaving_test.cpp
@@ -0,0 +1,155 @@
+#include "fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <iostream>
+#include <optional>
+
+using nlohmann::json;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint32_t longAnswer = 300;
+constexpr std::size_t callsAfter = 90;
+
+} // namespace
+
+/** Guards I5: a leaving server gets no new work once its agent and the entries know, and finishes what it has. */
+class LeavingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeavingTest);
+    CPPUNIT_TEST(byDocument);
+    CPPUNIT_TEST(byInstanceList);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<Fleet> m_fleet;
+    std::vector<Fleet::Answer> m_streams; ///< Long ones, in flight while the server leaves.
+    std::vector<Fleet::Answer> m_calls; ///< The constant load.
+    std::vector<Clock::time_point> m_sentAt; ///< Of the load.
+
+public:
+    void setUp() override
+    {
+        m_fleet = std::make_unique<Fleet>();
+        m_streams.clear();
+        m_calls.clear();
+        m_sentAt.clear();
+    }
+
+    void tearDown() override
+    {
+        m_fleet.reset();
+    }
+
+    void sendLoad()
+    {
+        const auto n = m_calls.size();
+        m_sentAt.push_back(Clock::now());
+        m_calls.push_back(m_fleet->stream(Fleet::entries()[n % 3], "load", 3, fmt::format("load-{}", n)));
+    }
+
+    void startLongStreams()
+    {
+        for (std::size_t i = 0; i < 12; ++i) {
+            m_streams.push_back(
+                m_fleet->stream(Fleet::entries()[i % 3], fmt::format("long {}", i), longAnswer, "long"));
+        }
+        m_fleet->waitUntil([this] {
+            return m_fleet->getJson("engine-1", "/counts").contains("long");
+        });
+    }
+
+    /** Whether every entry and the agent of m1 have the new state. */
+    bool isKnown()
+    {
+        for (const auto &entry : Fleet::entries()) {
+            for (const auto &row : m_fleet->status(entry).at("servers")) {
+                if (row.at("server") == Fleet::server("m1") && row.at("state") != "leaving") {
+                    return false;
+                }
+            }
+        }
+        return !m_fleet->status("agent-m1").at("refuses").get<std::string>().empty();
+    }
+
+    void leave(const std::function<void()> &publish)
+    {
+        startLongStreams();
+        for (int i = 0; i < 30; ++i) {
+            sendLoad();
+        }
+        const auto published = Clock::now();
+        publish();
+        m_fleet->waitUntil([this] {
+            sendLoad();
+            return isKnown();
+        });
+        const auto known = m_calls.size();
+        const auto knownAt = Clock::now();
+        for (std::size_t i = 0; i < callsAfter; ++i) {
+            sendLoad();
+        }
+        m_fleet->waitDone(m_calls);
+        m_fleet->waitDone(m_streams);
+        checkLastCall(published, known, knownAt);
+        for (std::size_t i = 0; i < m_streams.size(); ++i) {
+            expectWhole(m_streams[i], fmt::format("long {}", i), longAnswer);
+        }
+        for (const auto &it : m_calls) {
+            expectWhole(it, "load", 3);
+        }
+    }
+
+    void checkLastCall(Clock::time_point published, std::size_t known, Clock::time_point knownAt)
+    {
+        const auto counts = m_fleet->getJson("engine-1", "/counts");
+        std::optional<std::size_t> last;
+        for (std::size_t i = 0; i < m_calls.size(); ++i) {
+            if (counts.contains(fmt::format("load-{}", i))) {
+                last = i;
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("the server got no load at all", last.has_value());
+        const auto ms = [published](Clock::time_point t) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(t - published).count();
+        };
+        std::cout << fmt::format("\nlast new request at the leaving server: {} ms after the publication, known to all "
+                                 "after {} ms; {} calls before, {} after\n",
+                                 ms(m_sentAt[*last]),
+                                 ms(knownAt),
+                                 known,
+                                 m_calls.size() - known);
+        for (auto i = known; i < m_calls.size(); ++i) {
+            const auto name = fmt::format("load-{}", i);
+            CPPUNIT_ASSERT_MESSAGE(name + " reached the leaving server", !counts.contains(name));
+        }
+    }
+
+    void byDocument()
+    {
+        leave([this] {
+            m_fleet->publish([this](json &document) {
+                m_fleet->serverRow(document, "m1")["state"] = "leaving";
+            });
+        });
+    }
+
+    void byInstanceList()
+    {
+        leave([this] {
+            m_fleet->put("instances",
+                         "/control/instances",
+                         json::array({{{"name", Fleet::server("m1")},
+                                       {"role", "agent"},
+                                       {"domain", "d1"},
+                                       {"address", fmt::format("127.0.0.1:{}", m_fleet->port("agent-m1"))},
+                                       {"state", "leaving"}}}));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTest);
