Repeat attempts at servers that are gone without spending the retry budget

The budget started at one retry and was spent on servers that were gone, which loads nobody. Change: an attempt that found no process, or one that refuses all new work, costs no budget; its repetition is the first load on the others. Agents say so (tl-refusing) and are left alone for 2 s. Budgets can start full.

--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -205,6 +205,9 @@
 {
     auto headers = standardHeaders();
     if (verdict == Verdict::NotRun) {
+        if (!refusalReason().empty()) {
+            headers.emplace_back(wire::refusing, "1");
+        }
         headers.emplace_back(wire::retryAfterMs, std::to_string(std::max(retryAfter, busyRetryAfter).count()));
     }
     stream.reply(
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -13,6 +13,11 @@
 /** Streams that may be resumed at once: about what an entry loses with one failure domain at the target size. */
 constexpr double resumptionBurst = 16;
 
+bool isLeaving(HealthState state)
+{
+    return state == HealthState::Leaving;
+}
+
 std::vector<PeerKey> readKeys(const std::vector<std::string> &texts)
 {
     std::vector<PeerKey> keys;
@@ -57,7 +62,7 @@
              })
     , m_quota(io, m_tls, m_settings.name, m_settings.domain)
     , m_selector(m_settings.domain)
-    , m_resumptions({.budgetBurst = resumptionBurst})
+    , m_resumptions({.budgetBurst = resumptionBurst, .budgetInitial = resumptionBurst})
     , m_tickets(m_agents, m_selector)
     , m_context{io,
                 m_settings,
@@ -291,11 +296,12 @@
     const auto now = std::chrono::steady_clock::now();
     for (const auto &it : m_document->servers) {
         if (const auto peer = m_agents.find(it.name)) {
+            const auto health = m_selector.state(now, it.name);
             rows.push_back({{"server", it.name},
                             {"service", m_document->services[it.service].name},
                             {"domain", it.domain},
-                            {"state", nameOf(serverStateNames, it.state)},
-                            {"health", nameOf(healthStateNames, m_selector.state(now, it.name))},
+                            {"state", isLeaving(health) ? "leaving" : nameOf(serverStateNames, it.state)},
+                            {"health", nameOf(healthStateNames, health)},
                             {"connected", peer->client->isConnected()},
                             {"in_flight", peer->inFlight},
                             {"running", peer->reportedRunning},
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -208,6 +208,7 @@
     m_headers.clear();
     m_body.clear();
     m_relay.beginAttempt();
+    m_isServerGone = false;
     m_attemptStarted = Clock::now();
     m_attemptOffset = m_relay.nextOffset();
     const auto self = shared_from_this();
@@ -227,6 +228,10 @@
 {
     m_peer->hear(headers, Clock::now());
     m_context.selector.onLoad(Clock::now(), m_peer->name, m_peer->reportedRunning + m_peer->reportedQueued);
+    if (headerValue(headers, wire::refusing) == "1") {
+        m_isServerGone = true;
+        m_context.selector.onRefusing(Clock::now(), m_peer->name);
+    }
     m_status = status;
     m_retryAfter = retryAfterOf(headers);
     m_headers = callerHeaders(headers);
@@ -304,6 +309,7 @@
         reason = headerValue(result.trailers, wire::reason);
         noteAnswer(*peer, verdict);
     } else {
+        m_isServerGone = true;
         m_context.selector.onFailure(Clock::now(), peer->name);
         verdict = result.sent ? Verdict::MayHaveRun : Verdict::NotRun;
     }
@@ -355,6 +361,7 @@
     AttemptResult result;
     result.verdict = verdict;
     result.isIdempotent = m_request.isIdempotent;
+    result.hasLoadedServer = !m_isServerGone;
     result.attempts = m_attempts;
     result.deadline = m_deadline;
     auto &budget = m_streamBegun ? m_context.resumptions : m_context.retries;
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -101,6 +101,7 @@
     std::vector<std::string> m_tried;
     std::shared_ptr<AgentPeer> m_peer; ///< Of the attempt in flight.
     H2Client::StreamId m_stream = 0;
+    bool m_isServerGone = false; ///< The attempt found no process, or one that takes no new work.
     bool m_everSent = false; ///< Some attempt may have reached a backend server.
     int m_status = 0;
     HttpHeaders m_headers;
--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -7,7 +7,7 @@
 
 RetryBudget::RetryBudget(const RetryConfig &config)
     : m_config(config)
-    , m_level(std::min(1.0, config.budgetBurst))
+    , m_level(std::min(config.budgetInitial, config.budgetBurst))
 {
 }
 
@@ -53,7 +53,7 @@
     if (result.deadline != TimePoint::max() && now + delay + result.expectedDuration > result.deadline) {
         return {RetryReason::Deadline, {}};
     }
-    if (!budget.take(now)) {
+    if (result.hasLoadedServer && !budget.take(now)) {
         return {RetryReason::Budget, {}};
     }
     return {RetryReason::Allowed, delay};
--- a/src/retry.h
+++ b/src/retry.h
@@ -12,6 +12,7 @@
     double budgetShare = 0.1; ///< Retries per successful request.
     /** Retries that may be saved up. More lets all entries exceed the share together when a domain is lost. */
     double budgetBurst = 3;
+    double budgetInitial = 1; ///< At the start.
     /** Budget per second of an entry with too little traffic to earn one; it is saved up to one retry only. */
     double budgetFloor = 0.05;
     unsigned maxAttempts = 3;
@@ -44,6 +45,11 @@
     unsigned attempts = 1; ///< Sent so far, this one included.
     TimePoint deadline = TimePoint::max(); ///< Of the caller.
     std::chrono::milliseconds expectedDuration{0}; ///< Of one more attempt.
+    /**
+     * False if the attempt cannot have loaded a server that is still up: its process was gone or refused all new work.
+     * Repeating it offers the request to the others for the first time, so it costs no budget.
+     */
+    bool hasLoadedServer = true;
 };
 
 enum class RetryReason {
--- a/src/server_selector.cpp
+++ b/src/server_selector.cpp
@@ -8,6 +8,8 @@
 
 /** Round trip to another failure domain; today's sites have 1 ms and 3 ms. */
 constexpr Seconds remoteDistance{0.003};
+/** How long an agent that refuses all new work is left alone. */
+constexpr std::chrono::seconds refusingTime{2};
 
 } // namespace
 
@@ -72,11 +74,29 @@
 {
     for (auto &[service, group] : m_groups) {
         for (const auto &[key, name] : group.names) {
-            group.table.setHealth(key, m_health.isRoutable(now, key), m_health.slowness(key));
+            refreshHealth(now, key, group.table);
         }
     }
 }
 
+void ServerSelector::refreshHealth(TimePoint now, ServerKey key, RouteTable &table)
+{
+    const auto refusing = m_refusingUntil.find(key);
+    const bool isRefusing = refusing != m_refusingUntil.end() && now < refusing->second;
+    if (refusing != m_refusingUntil.end() && !isRefusing) {
+        m_refusingUntil.erase(refusing);
+    }
+    table.setHealth(key, !isRefusing && m_health.isRoutable(now, key), m_health.slowness(key));
+}
+
+void ServerSelector::onRefusing(TimePoint now, std::string_view server)
+{
+    if (auto *group = groupOf(server)) {
+        m_refusingUntil[serverKey(server)] = now + refusingTime;
+        refreshHealth(now, serverKey(server), group->table);
+    }
+}
+
 ServerSelector::Group *ServerSelector::groupOf(std::string_view server)
 {
     const auto service = m_serviceOf.find(server);
@@ -128,8 +148,7 @@
 {
     m_health.onSuccess(now, serverKey(server), incarnation, latency);
     if (auto *group = groupOf(server)) {
-        const auto key = serverKey(server);
-        group->table.setHealth(key, m_health.isRoutable(now, key), m_health.slowness(key));
+        refreshHealth(now, serverKey(server), group->table);
     }
 }
 
@@ -138,7 +157,7 @@
     const auto key = serverKey(server);
     m_health.onFailure(now, key);
     if (auto *group = groupOf(server)) {
-        group->table.setHealth(key, m_health.isRoutable(now, key), m_health.slowness(key));
+        refreshHealth(now, key, group->table);
     }
 }
 
--- a/src/server_selector.h
+++ b/src/server_selector.h
@@ -36,6 +36,8 @@
     void
     onSuccess(TimePoint now, std::string_view server, std::uint64_t incarnation, std::chrono::duration<double> latency);
     void onFailure(TimePoint now, std::string_view server);
+    /** The agent takes no new work; it is asked again after a short while. */
+    void onRefusing(TimePoint now, std::string_view server);
     /** Load from the headers of an answer, which is as old as the answer's way. */
     void onLoad(TimePoint now, std::string_view server, double inFlightAndQueued);
 
@@ -51,10 +53,12 @@
     };
 
     void refreshHealth(TimePoint now);
+    void refreshHealth(TimePoint now, ServerKey key, RouteTable &table);
     Group *groupOf(std::string_view server);
 
     std::string m_domain;
     HealthTable m_health;
+    std::unordered_map<ServerKey, TimePoint> m_refusingUntil;
     std::map<std::string, Group, std::less<>> m_groups; ///< By service.
     std::unordered_map<std::string, std::string, StringHash, std::equal_to<>> m_serviceOf; ///< By server.
     BoundedAffinityPolicy m_policy;
--- a/src/wire.h
+++ b/src/wire.h
@@ -27,6 +27,7 @@
 
 inline constexpr std::string_view incarnation = "tl-incarnation"; ///< INCARNATION.TICK of the answering agent.
 inline constexpr std::string_view load = "tl-load"; ///< RUNNING.QUEUED of its backend server.
+inline constexpr std::string_view refusing = "tl-refusing"; ///< "1" if the agent takes no new work at all.
 inline constexpr std::string_view verdict = "tl-verdict";
 inline constexpr std::string_view reason = "tl-reason";
 inline constexpr std::string_view retryAfterMs = "tl-retry-after-ms";
