Test a copy of a running keyed call during a drain

Cause: a draining agent that refuses keyed calls as not-run without looking at its ledger would tell a caller not-run for a call that is running in another copy; no test noticed that. Ruled out: the random test, which hits the 20 ms window too seldom to find it. Trial (working copy only, Agent::admitKeyed refuses before the ledger): agentFinishesItsKeyedCalls fails with "Expected: run, Actual: not-run". With the product unchanged build/tests/holds_shutdown_test passes its 3 cases.

--- a/tests/holds_shutdown_test.cpp
+++ b/tests/holds_shutdown_test.cpp
@@ -166,9 +166,13 @@
             "entry-2", "/services/controller/abort", json::object(), {{"Idempotency-Key", second}});
         m_fleet->waitDone({refused});
         CPPUNIT_ASSERT_EQUAL(std::string("not-run"), refused->header("X-Verdict"));
-        m_fleet->signal("agent-s" + domain, SIGTERM);
-        m_fleet->waitDone({running});
+        // A copy of the running call is answered with its outcome.
+        const auto copy
+            = m_fleet->callEntry("entry-3", "/services/controller/abort", json::object(), {{"Idempotency-Key", first}});
+        m_fleet->waitDone({running, copy});
         CPPUNIT_ASSERT_EQUAL(std::string("run"), running->header("X-Verdict"));
+        CPPUNIT_ASSERT_EQUAL(std::string("run"), copy->header("X-Verdict"));
+        m_fleet->signal("agent-s" + domain, SIGTERM);
         CPPUNIT_ASSERT_EQUAL(0, m_fleet->waitExit("agent-s" + domain));
         CPPUNIT_ASSERT(!m_fleet->getJson("service-" + domain, "/counts").contains(second));
     }
