Keep the handlers of a cancelled request until they return

Cause: HttpClient::cancel() within a handler destroyed the std::function that was running, with everything it had captured. Agent::onBackendBody() does this when a reader leaves more than 4 MB unread, and went on to use the captured call: the agent died without a log line. Ruled out: the engine (alive, no error) and a protocol error (the entry would have named it).

The transfer is now marked as cancelled and silenced, and removed once libcurl has returned. Before: build/tests/unit_http_test, cancelKeepsRunningHandler fails with "Expression: survived".

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -48,11 +48,12 @@
     HttpHeaders answerHeaders;
     int status = 0;
     bool headReported = false;
+    bool cancelled = false; ///< No handler is called any more.
 };
 
 void reportHead(Transfer &transfer)
 {
-    if (transfer.headReported) {
+    if (transfer.headReported || transfer.cancelled) {
         return;
     }
     transfer.headReported = true;
@@ -90,7 +91,7 @@
 std::size_t onBodyChunk(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
-    if (transfer.handlers.onBody) {
+    if (transfer.handlers.onBody && !transfer.cancelled) {
         transfer.handlers.onBody({data, size * count});
     }
     return size * count;
@@ -162,8 +163,9 @@
             return;
         }
         if (m_insideCurl) {
-            // libcurl must not be called back from its own callbacks: detach now, remove once it has returned.
-            it->second->handlers = {};
+            // libcurl must not be called back from its own callbacks, and the handlers must not be destroyed while one
+            // of them runs: silence them now, remove the transfer once libcurl has returned.
+            it->second->cancelled = true;
             asio::post(m_io, [this, id, alive = m_alive] {
                 if (*alive) {
                     cancel(id);
@@ -318,7 +320,7 @@
             const auto owned = std::move(m_transfers.at(transfer->id));
             m_transfers.erase(transfer->id);
             curl_multi_remove_handle(m_multi.get(), owned->easy.get());
-            if (owned->handlers.onDone) {
+            if (owned->handlers.onDone && !owned->cancelled) {
                 owned->handlers.onDone(result);
             }
         }
--- a/tests/unit_http_test.cpp
+++ b/tests/unit_http_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(streamsChunksInOrder);
     CPPUNIT_TEST(refusedConnectionIsNotSent);
     CPPUNIT_TEST(cancelInsideHandlerIsSafe);
+    CPPUNIT_TEST(cancelKeepsRunningHandler);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context m_io;
@@ -108,6 +109,32 @@
             m_io.run_one();
         }
     }
+
+    /** What a handler has captured lives until it returns, also after it has cancelled its request. */
+    void cancelKeepsRunningHandler()
+    {
+        HttpServer server(m_io, {}, echo());
+        HttpClient client(m_io);
+        auto captured = std::make_shared<int>(0);
+        const std::weak_ptr<int> watched = captured;
+        bool survived = false;
+        HttpClient::RequestId id = 0;
+        id = client.start({"GET", "http://127.0.0.1:" + std::to_string(server.port()) + "/stream", {}, ""},
+                          {{},
+                           [&client, &id, &watched, &survived, captured](std::string_view) {
+                               const auto &stillWatched = watched;
+                               auto &result = survived;
+                               client.cancel(id);
+                               result = !stillWatched.expired();
+                           },
+                           {}});
+        captured.reset();
+        while (client.activeCount() != 0) {
+            m_io.run_one();
+        }
+        CPPUNIT_ASSERT(survived);
+        CPPUNIT_ASSERT(watched.expired());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
