--- a/scripts/measure_lib.sh
+++ b/scripts/measure_lib.sh
@@ -24,6 +24,11 @@
     awk -v hz="$(getconf CLK_TCK)" '{sub(/^.*\) /, ""); print ($12 + $13) * 1000000 / hz}' "/proc/$(pid_of "$1")/stat"
 }
 
+# scheduled NAME: nanoseconds on a processor, nanoseconds spent ready but waiting for one, and times scheduled.
+scheduled() {
+    cat "/proc/$(pid_of "$1")/schedstat"
+}
+
 # rss_kb NAME
 rss_kb() {
     awk '/^VmRSS:/ {print $2}' "/proc/$(pid_of "$1")/status"
