--- a/scripts/measure_lib.sh
+++ b/scripts/measure_lib.sh
@@ -34,9 +34,15 @@
     awk '/^VmRSS:/ {print $2}' "/proc/$(pid_of "$1")/status"
 }
 
-# io_bytes NAME: bytes read and written by system calls, sockets included.
+# io_bytes NAME: payload bytes of its open TCP connections: received from and sent to peers (TLS included), then received
+# from and sent to the platform. /proc/PID/io does not count bytes of send() and recv().
 io_bytes() {
-    awk '/^rchar:/ {r = $2} /^wchar:/ {w = $2} END {print r, w}' "/proc/$(pid_of "$1")/io"
+    ss -tinpHO | grep "pid=$(pid_of "$1")," |
+        awk -v config=":$(port_of config)" -v instances=":$(port_of instances)" '
+            function field(name) {return match($0, " " name ":[0-9]+") ? substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) : 0}
+            {isPlatform = $5 ~ config "$" || $5 ~ instances "$"}
+            {r[isPlatform] += field("bytes_received"); w[isPlatform] += field("bytes_sent")}
+            END {printf "%.0f %.0f %.0f %.0f\n", r[0], w[0], r[1], w[1]}'
 }
 
 # start_agent NAME SERVER DOMAIN BACKEND_NAME [ARGUMENT...]
--- a/src/h2_connection.cpp
+++ b/src/h2_connection.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t maxConcurrentStreams = 4096;
 constexpr std::uint32_t maxHeaderListBytes = 64 * 1024;
 constexpr std::size_t frameHeaderBytes = 9;
+/** A connection that has sent a whole document must not keep a buffer of its size. */
+constexpr std::size_t maxKeptBufferBytes = 16 * 1024;
 
 std::string_view view(const std::uint8_t *data, std::size_t size)
 {
@@ -296,6 +298,9 @@
     asio::async_write(m_stream, asio::buffer(m_writing), [self = shared_from_this()](asio::error_code ec, std::size_t) {
         self->m_writeRunning = false;
         self->m_writing.clear();
+        if (self->m_writing.capacity() > maxKeptBufferBytes) {
+            self->m_writing.shrink_to_fit();
+        }
         if (!self->m_open) {
             return;
         }
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -105,7 +105,8 @@
     TlsStream m_stream;
     std::unique_ptr<nghttp2_session, SessionDeleter> m_session;
     std::unordered_map<std::int32_t, H2OutgoingBody> m_outgoing;
-    std::array<std::uint8_t, 16384> m_readBuf{};
+    /** Small, because every idle connection keeps it; TLS has already read the rest of a record from the socket. */
+    std::array<std::uint8_t, 4096> m_readBuf{};
     std::string m_queued; ///< Frames that wait for the running write.
     std::string m_writing;
     bool m_open = true;
