--- a/tests/holds_leaving_test.cpp
+++ b/tests/holds_leaving_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <optional>
@@ -81,9 +82,14 @@
     void leave(const std::function<void()> &publish)
     {
         startLongStreams();
-        for (int i = 0; i < 30; ++i) {
+        // The server must be in use before it leaves, or the test would show nothing.
+        m_fleet->waitUntil([this] {
             sendLoad();
-        }
+            const auto counts = m_fleet->getJson("engine-1", "/counts");
+            return m_calls.size() >= 30 && std::ranges::any_of(counts.items(), [](const auto &it) {
+                       return it.key().starts_with("load-");
+                   });
+        });
         const auto published = Clock::now();
         publish();
         m_fleet->waitUntil([this] {
