Isolate and refuse requests that crash backend servers

Cause: SuspectTable and IsolationGate were tested models that no daemon used, so a resent request took down every server that ran it. The agent now finds out that its server died, pushes reports over GET /events streams and in trailers, entries gossip them (800 bytes at most per message) and ask the table before each attempt, and the agent runs suspected calls alone. A refused keyed call is sealed first.

Found on the way: libcurl resends a request itself when a kept connection breaks. The agent now uses a new connection for each call.

--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -79,6 +79,24 @@
                  applyDocument(document);
              })
     , m_queue(FairQueueConfig{.maxLength = static_cast<std::uint32_t>(m_settings.queueLength)})
+    , m_suspects(m_settings.suspectHold)
+    , m_suspectFeed(m_suspects)
+    , m_isolation(io,
+                  m_settings,
+                  m_incarnation,
+                  m_suspects,
+                  {[this](const Call &call) {
+                       startBackend(call);
+                   },
+                   [this](const Call &call, const std::string &reason) {
+                       finish(call, Verdict::NotRun, reason);
+                   },
+                   [this](const Call &call, const std::string &reason) {
+                       finish(call, Verdict::MayHaveRun, reason);
+                   },
+                   [this] {
+                       dispatch();
+                   }})
     , m_peerServer(io,
                    m_tls,
                    m_settings.address,
@@ -102,6 +120,7 @@
               {m_settings.drainNotice, m_settings.drainDeadline},
               {[] {},
                [this] {
+                   m_suspectFeed.close();
                    m_peerServer.stopListening();
                    m_peerServer.drain();
                },
@@ -138,6 +157,13 @@
                   }})
     , m_tickTimer(io)
 {
+    m_sync.setSuspects(m_suspects);
+    // Only what this agent has seen itself; the reports of others reach the entries by gossip.
+    m_suspects.setNewsHandler([this](const SuspectSync::Reports &news, SuspectSync::Origin origin) {
+        if (origin == SuspectSync::Origin::Own) {
+            m_suspectFeed.push(news);
+        }
+    });
     m_sync.start();
     m_platform.start();
     tick();
@@ -190,6 +216,8 @@
         handleSeal(*stream);
     } else if (path == "/bind") {
         handleBind(*stream);
+    } else if (path == "/events") {
+        m_suspectFeed.add(stream);
     } else if (path == "/hello") {
         handleHello(*stream);
     } else if (!m_sync.handle(*stream)) {
@@ -201,17 +229,19 @@
                    int status,
                    Verdict verdict,
                    const std::string &reason,
-                   std::chrono::milliseconds retryAfter)
+                   std::chrono::milliseconds retryAfter,
+                   std::string suspects)
 {
     auto headers = standardHeaders();
     if (verdict == Verdict::NotRun) {
         headers.emplace_back(wire::retryAfterMs, std::to_string(std::max(retryAfter, busyRetryAfter).count()));
     }
-    stream.reply(
-        status,
-        headers,
-        {},
-        {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
+    HttpHeaders trailers{{std::string(wire::verdict), std::string(verdictName(verdict))},
+                         {std::string(wire::reason), reason}};
+    if (!suspects.empty()) {
+        trailers.emplace_back(wire::suspect, std::move(suspects));
+    }
+    stream.reply(status, headers, {}, std::move(trailers));
 }
 
 void Agent::replay(H2ServerStream &stream, const Answer &answer)
@@ -233,6 +263,7 @@
     }
     auto call = std::make_shared<AgentCall>(std::move(*parsed.value));
     call->stream = stream;
+    m_suspects.takeHeader(stream->header(wire::suspect));
     stream->onCancel = [this, weak = std::weak_ptr(call)] {
         if (const auto locked = weak.lock()) {
             onEntryGone(locked);
@@ -310,9 +341,10 @@
 
 void Agent::dispatch()
 {
+    m_isolation.pump();
     std::vector<QueuedCall> late;
     while (const auto next = m_queue.start(AgentCall::Clock::now(), late)) {
-        startBackend(Call(m_calls.at(next->id)));
+        m_isolation.admit(Call(m_calls.at(next->id)));
     }
     finishNotRun(late, "deadline passed in the queue");
 }
@@ -377,11 +409,12 @@
 void Agent::onBackendDone(const Call &call, const HttpClientResult &result)
 {
     if (result.complete) {
+        m_suspects.complete(call->fingerprint);
         finish(call, Verdict::Run, {});
     } else if (!result.sent) {
         finish(call, Verdict::NotRun, "backend server refused the connection");
     } else {
-        finish(call, Verdict::MayHaveRun, "backend server: " + result.error);
+        m_isolation.onBroken(call, "backend server: " + result.error);
     }
 }
 
@@ -409,7 +442,9 @@
     if (m_calls.erase(call->id) == 0) {
         return;
     }
-    if (call->isRunning) {
+    const bool hasSlot = call->isRunning || call->isHeld;
+    m_isolation.end(call);
+    if (hasSlot) {
         m_queue.finish(AgentCall::Clock::now(), call->id);
     } else {
         m_queue.cancel(call->id);
@@ -423,10 +458,14 @@
         }
     }
     if (call->stream && call->headSent) {
-        call->stream->end(
-            {{std::string(wire::verdict), std::string(verdictName(verdict))}, {std::string(wire::reason), reason}});
+        HttpHeaders trailers{{std::string(wire::verdict), std::string(verdictName(verdict))},
+                             {std::string(wire::reason), reason}};
+        if (auto reports = m_suspects.header(call->fingerprint); !reports.empty()) {
+            trailers.emplace_back(wire::suspect, std::move(reports));
+        }
+        call->stream->end(std::move(trailers));
     } else if (call->stream) {
-        refuse(*call->stream, 503, verdict, reason, call->retryAfter);
+        refuse(*call->stream, 503, verdict, reason, call->retryAfter, m_suspects.header(call->fingerprint));
     }
     answerWaiters(call, verdict, reason);
     dispatch();
@@ -549,6 +588,9 @@
             {"slots", slots()},
             {"ledger_entries", m_ledger ? m_ledger->size() : 0},
             {"bound_keys", m_binder ? m_binder->size() : 0},
+            {"suspects", m_suspects.status()},
+            {"suspect_streams", m_suspectFeed.size()},
+            {"held_for_suspects", m_isolation.heldCount()},
             {"refuses", refusalReason()}};
 }
 
--- a/src/agent.h
+++ b/src/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent_call.h"
+#include "agent_isolation.h"
 #include "agent_settings.h"
 #include "config_sync.h"
 #include "document.h"
@@ -14,6 +15,7 @@
 #include "metrics.h"
 #include "ops_server.h"
 #include "platform_client.h"
+#include "suspect_events.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -68,7 +70,8 @@
                 int status,
                 Verdict verdict,
                 const std::string &reason,
-                std::chrono::milliseconds retryAfter = {});
+                std::chrono::milliseconds retryAfter = {},
+                std::string suspects = {});
     void replay(H2ServerStream &stream, const Answer &answer);
 
     void tick();
@@ -95,6 +98,9 @@
     ConfigSync m_sync;
     bool m_listedAsLeaving = false;
     FairQueue m_queue;
+    SuspectSync m_suspects;
+    SuspectFeed m_suspectFeed;
+    AgentIsolation m_isolation;
     std::unordered_map<std::uint64_t, Call> m_calls; ///< Waiting and running, by id.
     std::uint64_t m_lastId = 0;
     std::map<Ticket, Call> m_keyedCalls; ///< Queued or running keyed calls.
--- a/src/agent_call.cpp
+++ b/src/agent_call.cpp
@@ -76,8 +76,9 @@
     if (!call.callerKey.empty()) {
         request.headers.emplace_back("Idempotency-Key", call.callerKey);
     }
-    // libcurl sends a request again by itself if a reused connection turns out to be dead, which could run it twice.
-    request.freshConnection = !call.isIdempotent;
+    // libcurl sends a request again by itself if a reused connection turns out to be dead. That could run a call twice,
+    // hide that it has crashed the backend server, and report it as not run when the second connection is refused.
+    request.freshConnection = true;
     return request;
 }
 
--- /dev/null
+++ b/src/agent_isolation.cpp
@@ -0,0 +1,147 @@
+#include "agent_isolation.h"
+
+#include "log.h"
+#include "suspect_codec.h"
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace {
+
+/** Calls without a valid fingerprint share this one, which is never reported. */
+Fingerprint fingerprintOf(const AgentCall &call)
+{
+    return parseFingerprint(call.fingerprint).value_or(Fingerprint{});
+}
+
+} // namespace
+
+AgentIsolation::AgentIsolation(asio::io_context &io,
+                               const AgentSettings &settings,
+                               std::uint64_t incarnation,
+                               SuspectSync &suspects,
+                               AgentIsolationHandlers handlers)
+    : m_settings(settings)
+    , m_run(incarnation)
+    , m_suspects(suspects)
+    , m_handlers(std::move(handlers))
+    , m_probe(io, settings.backendUrl)
+{
+}
+
+void AgentIsolation::admit(const Call &call)
+{
+    call->isHeld = true;
+    m_held.push_back(call);
+    pump();
+}
+
+void AgentIsolation::pump()
+{
+    // Nothing starts while it is open whether the server has died: the calls could not be told from its victims.
+    if (m_isPumping || m_probe.isRunning()) {
+        return;
+    }
+    m_isPumping = true;
+    for (std::size_t i = 0; i < m_held.size();) {
+        const Call call = m_held[i];
+        if (!tryStart(call)) {
+            ++i;
+        }
+    }
+    m_isPumping = false;
+}
+
+bool AgentIsolation::tryStart(const Call &call)
+{
+    const auto decision = m_suspects.decide(call->fingerprint);
+    if (decision.action == SuspectAction::Refuse) {
+        call->retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter);
+        m_handlers.refuse(call, "the request is suspected of crashing backend servers");
+        return true;
+    }
+    if (AgentCall::Clock::now() >= call->deadline) {
+        m_handlers.refuse(call, "deadline passed in the queue");
+        return true;
+    }
+    if (!m_gate.tryStart(fingerprintOf(*call), decision.action == SuspectAction::RunAlone)) {
+        return false;
+    }
+    std::erase(m_held, call);
+    call->isHeld = false;
+    call->backendRun = m_run;
+    m_handlers.start(call);
+    return true;
+}
+
+void AgentIsolation::end(const Call &call)
+{
+    if (call->isHeld) {
+        call->isHeld = false;
+        std::erase(m_held, call);
+        m_gate.cancelWait(fingerprintOf(*call));
+    } else if (call->isRunning) {
+        m_gate.end(fingerprintOf(*call));
+    }
+}
+
+void AgentIsolation::onBroken(const Call &call, const std::string &reason)
+{
+    if (call->backendRun != m_run) {
+        m_handlers.fail(call, reason); // The crash that broke it is recorded already.
+        return;
+    }
+    m_broken.push_back({call, reason});
+    if (!m_probe.isRunning()) {
+        m_probe.start([this](bool isListening) {
+            onProbed(isListening);
+        });
+    }
+}
+
+std::vector<Fingerprint> AgentIsolation::suspectsNow() const
+{
+    auto found = m_gate.inFlight();
+    for (const auto &it : m_broken) {
+        found.push_back(fingerprintOf(*it.call)); // It may have been cancelled during the probe.
+    }
+    std::ranges::sort(found, [](const auto &a, const auto &b) {
+        return a < b;
+    });
+    found.erase(std::unique(found.begin(), found.end()), found.end());
+    std::erase(found, Fingerprint{});
+    return found;
+}
+
+void AgentIsolation::onProbed(bool isListening)
+{
+    // A server that has been restarted already listens again, but then all its connections broke together. A single
+    // broken connection to a server that listens is no sign of a crash.
+    const bool isAllBroken = m_broken.size() > 1 && m_broken.size() >= m_gate.inFlight().size();
+    if (!isListening || isAllBroken) {
+        recordCrash();
+    }
+    // The reports are on their way before any caller learns that its call has failed and sends it again.
+    for (const auto &it : std::exchange(m_broken, {})) {
+        m_handlers.fail(it.call, it.reason);
+    }
+    m_handlers.resume();
+}
+
+void AgentIsolation::recordCrash()
+{
+    const auto suspects = suspectsNow();
+    m_suspects.recordCrash(suspects, m_settings.server, m_run, m_settings.domain);
+    ++m_run;
+    logEvent(LogLevel::Warning,
+             "backend server died",
+             {{"broken", m_broken.size()}, {"suspected_fingerprints", suspects.size()}});
+}
+
+std::size_t AgentIsolation::heldCount() const
+{
+    return m_held.size();
+}
+
+} // namespace turmericline
--- a/src/agent_settings.h
+++ b/src/agent_settings.h
@@ -21,11 +21,12 @@
     std::chrono::milliseconds drainNotice{};
     std::chrono::milliseconds drainDeadline{};
     std::chrono::milliseconds backendSilence{};
+    std::chrono::milliseconds suspectHold{};
     std::uint64_t queueLength = 0;
     std::uint64_t ledgerEntries = 0;
 };
 
-inline constexpr std::array<SettingRow<AgentSettings>, 16> agentSettingRows{{
+inline constexpr std::array<SettingRow<AgentSettings>, 17> agentSettingRows{{
     {"server", &AgentSettings::server, "", "name of the backend server in the document", true, 0, 0, checkName},
     {"domain", &AgentSettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"address", &AgentSettings::address, "127.0.0.1", "IP address to listen on", false, 0, 0, checkIp},
@@ -72,6 +73,13 @@
      false,
      100,
      600'000},
+    {"suspect-hold-ms",
+     &AgentSettings::suspectHold,
+     "300000",
+     "time for which a request is suspected after a crash; the same in all instances",
+     false,
+     100,
+     86'400'000},
     {"queue-length",
      &AgentSettings::queueLength,
      "256",
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -16,6 +16,9 @@
 constexpr const char *announcementKey = "a";
 constexpr const char *confirmationKey = "c"; ///< Milliseconds since the service confirmed the document.
 constexpr const char *queryKey = "q";
+constexpr const char *suspectsKey = "s"; ///< Crash reports.
+/** News of crashes come in bursts, and each burst should cost one round. */
+constexpr std::chrono::milliseconds newsDelay{20};
 
 /** Sends a small request and collects its answer; @p done gets nothing if there is none. */
 void request(const std::shared_ptr<H2Client> &peer,
@@ -50,6 +53,7 @@
     , m_watch({m_settings.name, m_settings.domain}, m_settings.watch, std::random_device{}(), Clock::now())
     , m_random(std::random_device{}())
     , m_timer(io)
+    , m_newsTimer(io)
 {
 }
 
@@ -58,6 +62,43 @@
     m_agents = std::move(source);
 }
 
+void ConfigSync::setSuspects(SuspectSync &suspects)
+{
+    m_suspects = &suspects;
+    if (!m_settings.isEntry) {
+        return;
+    }
+    suspects.setNewsHandler([this](const SuspectSync::Reports &, SuspectSync::Origin) {
+        if (m_isNewsPending) {
+            return;
+        }
+        m_isNewsPending = true;
+        m_newsTimer.expires_after(newsDelay);
+        m_newsTimer.async_wait([this](asio::error_code ec) {
+            m_isNewsPending = false;
+            if (!ec) {
+                announceToPeers();
+            }
+        });
+    });
+}
+
+void ConfigSync::addSuspects(json &message) const
+{
+    if (m_suspects != nullptr) {
+        if (auto reports = m_suspects->gossip(); !reports.empty()) {
+            message[suspectsKey] = std::move(reports);
+        }
+    }
+}
+
+void ConfigSync::announceToPeers()
+{
+    for (const auto &it : roundPeers()) {
+        announce(it);
+    }
+}
+
 void ConfigSync::start()
 {
     round();
@@ -125,9 +166,7 @@
 void ConfigSync::round()
 {
     if (m_settings.isEntry || !m_store.document()) {
-        for (const auto &it : roundPeers()) {
-            announce(it);
-        }
+        announceToPeers();
     }
     announceToAgents(true);
     m_timer.expires_after(m_settings.interval);
@@ -150,12 +189,17 @@
 
 std::string ConfigSync::message() const
 {
-    return toMessage({{announcementKey, encodeAnnouncement(m_store.announcement())},
-                      {confirmationKey, m_watch.confirmationAge(Clock::now()).count()}});
+    json message{{announcementKey, encodeAnnouncement(m_store.announcement())},
+                 {confirmationKey, m_watch.confirmationAge(Clock::now()).count()}};
+    addSuspects(message);
+    return toMessage(message);
 }
 
 void ConfigSync::onMessage(const json &message)
 {
+    if (m_suspects != nullptr && message.contains(suspectsKey)) {
+        m_suspects->takeReports(message[suspectsKey]);
+    }
     const auto announcement = decodeAnnouncement(message.value(announcementKey, json()));
     const auto age = message.value(confirmationKey, json());
     if (!announcement || !age.is_number_integer() || age.get<std::int64_t>() < 0) {
@@ -230,6 +274,7 @@
             if (const auto query = m_store.query(*announcement, Clock::now())) {
                 answer[queryKey] = encodeQuery(*query);
             }
+            addSuspects(answer);
         }
         stream.reply(announcement ? 200 : 400, {}, toMessage(answer));
         return true;
@@ -281,9 +326,7 @@
     logEvent(
         LogLevel::Info, "configuration in force", {{"version", m_store.inForce().ref.version}, {"source", source}});
     m_onApplied(m_store.document());
-    for (const auto &it : roundPeers()) {
-        announce(it);
-    }
+    announceToPeers();
     announceToAgents(false);
 }
 
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -5,6 +5,7 @@
 #include "h2_client.h"
 #include "h2_server.h"
 #include "platform_client.h"
+#include "suspect_sync.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -45,6 +46,8 @@
     ConfigSync(asio::io_context &io, PeerTls &tls, ConfigSyncSettings settings, AppliedHandler onApplied);
 
     void setAgentSource(AgentSource source);
+    /** Exchanges crash reports in the gossip messages; an entry passes a new one on at once. */
+    void setSuspects(SuspectSync &suspects);
     void start();
     void setInstances(const std::vector<InstanceInfo> &instances);
     /** Answers /gossip, /query and /document; returns false for other paths. */
@@ -63,6 +66,8 @@
     void round();
     void announce(const std::shared_ptr<H2Client> &peer);
     void announceToAgents(bool isRound);
+    void announceToPeers();
+    void addSuspects(nlohmann::json &message) const;
     std::vector<std::shared_ptr<H2Client>> roundPeers();
     std::shared_ptr<H2Client> client(const std::string &address);
     std::string message() const;
@@ -79,12 +84,15 @@
     ConfigSyncSettings m_settings;
     AppliedHandler m_onApplied;
     AgentSource m_agents;
+    SuspectSync *m_suspects = nullptr;
     ConfigStore m_store;
     ConfigWatchPolicy m_watch;
     std::mt19937_64 m_random;
     std::vector<InstanceInfo> m_entries; ///< Live ones, sorted by name.
     std::map<std::string, std::shared_ptr<H2Client>> m_clients; ///< By address.
     asio::steady_timer m_timer;
+    asio::steady_timer m_newsTimer;
+    bool m_isNewsPending = false;
 };
 
 } // namespace turmericline
--- /dev/null
+++ b/src/crash_probe.cpp
@@ -0,0 +1,89 @@
+#include "crash_probe.h"
+
+#include "h2_client.h"
+
+#include <asio/ip/address.hpp>
+
+namespace turmericline {
+
+namespace {
+
+/** An ending process closes its sockets one after the other, so its listener may outlive a connection for a moment. */
+constexpr std::chrono::milliseconds probeDelay{5};
+/** Failed requests are held back for the probe, so a host that drops packets must not delay them for long. */
+constexpr std::chrono::milliseconds probeTimeout{500};
+
+std::optional<asio::ip::tcp::endpoint> endpointOf(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    url.remove_prefix(scheme.size());
+    const auto parsed = parseAddress(url.substr(0, url.find('/')));
+    if (!parsed) {
+        return std::nullopt;
+    }
+    asio::error_code ec;
+    const auto address = asio::ip::make_address(parsed.value->first, ec);
+    return ec ? std::nullopt : std::optional(asio::ip::tcp::endpoint(address, parsed.value->second));
+}
+
+} // namespace
+
+struct CrashProbe::Attempt
+{
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    Handler done;
+};
+
+CrashProbe::CrashProbe(asio::io_context &io, const std::string &backendUrl)
+    : m_io(io)
+    , m_server(endpointOf(backendUrl))
+{
+}
+
+bool CrashProbe::isRunning() const
+{
+    return m_attempt != nullptr;
+}
+
+void CrashProbe::start(Handler done)
+{
+    m_attempt
+        = std::make_shared<Attempt>(Attempt{asio::ip::tcp::socket(m_io), asio::steady_timer(m_io), std::move(done)});
+    m_attempt->timer.expires_after(probeDelay);
+    m_attempt->timer.async_wait([this, attempt = m_attempt](asio::error_code ec) {
+        if (!ec) {
+            connect(attempt);
+        }
+    });
+}
+
+void CrashProbe::connect(const std::shared_ptr<Attempt> &attempt)
+{
+    if (!m_server) {
+        end(attempt, true);
+        return;
+    }
+    attempt->timer.expires_after(probeTimeout);
+    attempt->timer.async_wait([attempt](asio::error_code ec) {
+        if (!ec) {
+            asio::error_code ignored;
+            attempt->socket.close(ignored); // The connect ends with an error.
+        }
+    });
+    attempt->socket.async_connect(*m_server, [this, attempt](asio::error_code ec) {
+        attempt->timer.cancel();
+        end(attempt, !ec);
+    });
+}
+
+void CrashProbe::end(const std::shared_ptr<Attempt> &attempt, bool isListening)
+{
+    m_attempt.reset();
+    attempt->done(isListening);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/crash_probe.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace turmericline {
+
+/** Finds out whether a backend server still listens, after a connection to it has broken. */
+class CrashProbe
+{
+public:
+    using Handler = std::function<void(bool isListening)>;
+
+    CrashProbe(asio::io_context &io, const std::string &backendUrl);
+
+    /** Connects after a moment and closes the connection; not to be called while isRunning(). */
+    void start(Handler done);
+    bool isRunning() const;
+
+private:
+    struct Attempt;
+
+    void connect(const std::shared_ptr<Attempt> &attempt);
+    void end(const std::shared_ptr<Attempt> &attempt, bool isListening);
+
+    asio::io_context &m_io;
+    std::optional<asio::ip::tcp::endpoint> m_server; ///< Unset if the URL has no IP address.
+    std::shared_ptr<Attempt> m_attempt;
+};
+
+} // namespace turmericline
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -53,6 +53,8 @@
                  applyDocument(document);
              })
     , m_tickets(m_agents, m_settings.domain)
+    , m_suspects(m_settings.suspectHold)
+    , m_suspectEvents(io, m_suspects)
     , m_context{io,
                 m_settings,
                 m_document,
@@ -63,7 +65,9 @@
                 },
                 [this](const EntryCall &call) {
                     m_calls.erase(&call);
-                }}
+                },
+                m_suspects,
+                m_suspectEvents}
     , m_peerServer(io,
                    m_tls,
                    m_settings.address,
@@ -133,6 +137,7 @@
     m_sync.setAgentSource([this](bool isRound) {
         return m_agents.clients(isRound);
     });
+    m_sync.setSuspects(m_suspects);
     m_sync.start();
     m_platform.start();
     tick();
@@ -278,6 +283,8 @@
             {"calls", m_calls.size()},
             {"connections", m_callers.connectionCount()},
             {"configuration", m_sync.status()},
+            {"suspects", m_suspects.status()},
+            {"suspect_streams", m_suspectEvents.size()},
             {"platform_calls", m_platform.callCount()},
             {"servers", m_agents.status(*m_document)}};
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -64,6 +64,8 @@
     AgentPool m_agents;
     ConfigSync m_sync;
     TicketIssuer m_tickets;
+    SuspectSync m_suspects;
+    SuspectEvents m_suspectEvents;
     EntryContext m_context;
     std::unordered_map<const EntryCall *, std::shared_ptr<EntryCall>> m_calls;
     std::unordered_map<std::uint64_t, std::weak_ptr<EntryCall>> m_callOfConnection;
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -76,6 +76,9 @@
         return nullptr;
     }
     const auto found = m_context.agents.candidates(*m_context.document, service, m_tried);
+    if (m_context.suspects.decide(m_request.fingerprint).action != SuspectAction::Run) {
+        return isolationPeer(found);
+    }
     const auto now = Clock::now();
     const auto cost = [&](const std::shared_ptr<AgentPeer> &peer) {
         const auto avoided = now < peer->avoidUntil ? 1'000'000U : 0U;
@@ -90,7 +93,10 @@
 
 void EntryCall::attempt()
 {
-    if (const auto peer = chooseServer()) {
+    if (isRefusedSuspect()) {
+        giveUpSuspect(m_everSent ? Verdict::MayHaveRun
+                                 : refusalVerdict(m_request.isIdempotent, !m_request.key.empty()));
+    } else if (const auto peer = chooseServer()) {
         send(peer);
     } else {
         onNoServer();
@@ -133,6 +139,9 @@
     if (m_relay.nextOffset() > 0) {
         add(wire::resume, std::to_string(m_relay.nextOffset()));
     }
+    if (auto reports = m_context.suspects.header(m_request.fingerprint); !reports.empty()) {
+        add(wire::suspect, std::move(reports));
+    }
     return request;
 }
 
@@ -147,6 +156,7 @@
     m_body.clear();
     m_relay.beginAttempt();
     const auto self = shared_from_this();
+    m_context.events.ensure(peer->client);
     m_stream = peer->client->start(wireRequest(),
                                    {[self](int status, const HttpHeaders &headers) {
                                         self->onHead(status, headers);
@@ -236,6 +246,7 @@
     if (result.complete) {
         verdict = parseVerdict(headerValue(result.trailers, wire::verdict));
         reason = headerValue(result.trailers, wire::reason);
+        m_context.suspects.takeHeader(headerValue(result.trailers, wire::suspect));
         peer->succeed();
     } else {
         peer->fail(Clock::now());
@@ -280,6 +291,10 @@
         return;
     }
     const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
+    if (isRefusedSuspect()) {
+        giveUpSuspect(overall);
+        return;
+    }
     giveUp({503, "unavailable", reason, overall, m_retryAfter.value_or(defaultRetryAfter)});
 }
 
@@ -325,6 +340,7 @@
 
 void EntryCall::answer()
 {
+    m_context.suspects.complete(m_request.fingerprint);
     if (m_request.isStream && m_status == 200) {
         finishStream(true, Verdict::Run, {});
         return;
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -4,6 +4,7 @@
 #include "caller_request.h"
 #include "keyed_call.h"
 #include "metrics.h"
+#include "suspect_events.h"
 #include "ticket_type.h"
 #include "token_relay.h"
 
@@ -30,6 +31,8 @@
     /** A moment before any request that is read now can have arrived, also if this process was frozen. */
     std::function<std::chrono::steady_clock::time_point()> arrival;
     std::function<void(const EntryCall &)> onDone;
+    SuspectSync &suspects;
+    SuspectEvents &events;
 };
 
 /** One request of a caller, from its acceptance to its answer, over one or more attempts. */
@@ -59,6 +62,12 @@
     void onDeadline();
     void onNoServer();
 
+    // Requests suspected of crashing servers; see SuspectTable.
+    std::shared_ptr<AgentPeer> isolationPeer(const std::vector<std::shared_ptr<AgentPeer>> &found) const;
+    bool isRefusedSuspect() const;
+    void giveUpSuspect(Verdict verdict);
+    KeyedStep refuseKeyedSuspect();
+
     // Keyed non-idempotent calls; see KeyedCall.
     void perform(const KeyedStep &step);
     void sendBind(bool isSeal);
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -26,6 +26,11 @@
     if (m_isDone) {
         return;
     }
+    const bool wouldRun = step.action == KeyedAction::Bind || step.action == KeyedAction::Run;
+    if (wouldRun && isRefusedSuspect()) {
+        perform(refuseKeyedSuspect());
+        return;
+    }
     switch (step.action) {
     case KeyedAction::Bind:
     case KeyedAction::SealUnbound:
@@ -45,6 +50,10 @@
         return;
     }
     case KeyedAction::Finish:
+        if (isRefusedSuspect()) {
+            giveUpSuspect(step.verdict);
+            return;
+        }
         giveUp({503, "unavailable", step.reason, step.verdict, retryAfterLost});
         return;
     }
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -25,12 +25,13 @@
     std::chrono::milliseconds defaultDeadline{};
     std::chrono::milliseconds maxDeadline{};
     std::chrono::milliseconds readTimeout{};
+    std::chrono::milliseconds suspectHold{};
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxConnections = 0;
     std::uint64_t maxCalls = 0;
 };
 
-inline constexpr std::array<SettingRow<EntrySettings>, 21> entrySettingRows{{
+inline constexpr std::array<SettingRow<EntrySettings>, 22> entrySettingRows{{
     {"name", &EntrySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &EntrySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"address", &EntrySettings::address, "127.0.0.1", "IP address to listen on", false, 0, 0, checkIp},
@@ -86,6 +87,13 @@
      false,
      100,
      600'000},
+    {"suspect-hold-ms",
+     &EntrySettings::suspectHold,
+     "300000",
+     "time for which a request is suspected after a crash; the same in all instances",
+     false,
+     100,
+     86'400'000},
     {"max-body-bytes", &EntrySettings::maxBodyBytes, "1048576", "larger requests get 413", false, 1'024, 4'194'304},
     {"max-connections", &EntrySettings::maxConnections, "4096", "connections of callers", false, 8, 100'000},
     {"max-calls", &EntrySettings::maxCalls, "4096", "requests in flight; more get 503", false, 1, 100'000},
--- a/src/suspect.cpp
+++ b/src/suspect.cpp
@@ -59,27 +59,27 @@
     }
 }
 
-void SuspectTable::merge(const CrashReport &report, Age now)
+bool SuspectTable::merge(const CrashReport &report, Age now)
 {
     auto it = m_suspects.find(report.fingerprint);
     if (it == m_suspects.end()) {
         // A lone report of this age has no effect any more, and would only take up room.
         if (report.age >= m_settings.hold || !makeRoom(now)) {
-            return;
+            return false;
         }
         it = m_suspects.emplace(report.fingerprint, Crashes{}).first;
     }
-    insert(it->second, {report.server, report.incarnation, report.domain, now - report.age, report.isCleared, 0}, now);
+    return insert(
+        it->second, {report.server, report.incarnation, report.domain, now - report.age, report.isCleared, 0}, now);
 }
 
-void SuspectTable::insert(Crashes &crashes, Crash crash, Age now) const
+bool SuspectTable::insert(Crashes &crashes, Crash crash, Age now) const
 {
     const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const Crash &it) {
         return it.server == crash.server && it.incarnation == crash.incarnation;
     });
     if (known != crashes.end()) {
-        mergeInto(*known, crash);
-        return;
+        return mergeInto(*known, crash);
     }
     if (crashes.size() >= m_settings.maxReportsPerFingerprint) {
         const auto active = activeCrashes(crashes, now);
@@ -87,14 +87,15 @@
             return std::find(active.begin(), active.end(), &it) == active.end();
         });
         if (useless == crashes.end()) {
-            return;
+            return false;
         }
         crashes.erase(useless);
     }
     crashes.push_back(std::move(crash));
+    return true;
 }
 
-void SuspectTable::mergeInto(Crash &known, const Crash &news)
+bool SuspectTable::mergeInto(Crash &known, const Crash &news)
 {
     // Travel makes a crash look later than it was, so the earliest estimate is the best one. It also keeps reports
     // that go round between processes from prolonging a suspicion.
@@ -102,7 +103,9 @@
     if (news.isCleared && !known.isCleared) {
         known.isCleared = true;
         known.sends = 0;
+        return true;
     }
+    return false;
 }
 
 std::vector<const SuspectTable::Crash *> SuspectTable::activeCrashes(const Crashes &crashes, Age now) const
@@ -179,7 +182,8 @@
     return reports;
 }
 
-std::vector<CrashReport> SuspectTable::nextReports(std::size_t n, Age now)
+std::vector<CrashReport>
+SuspectTable::nextReports(std::size_t n, Age now, const std::function<bool(const CrashReport &)> &fits)
 {
     std::vector<std::pair<const Fingerprint *, Crash *>> choices;
     for (auto &[fingerprint, crashes] : m_suspects) {
@@ -196,10 +200,29 @@
     choices.erase(middle, choices.end());
     std::vector<CrashReport> reports;
     for (const auto &[fingerprint, crash] : choices) {
+        CrashReport report{
+            *fingerprint, crash->server, crash->incarnation, crash->domain, now - crash->when, crash->isCleared};
+        if (fits && !fits(report)) {
+            break;
+        }
         ++crash->sends;
-        reports.push_back(
-            {*fingerprint, crash->server, crash->incarnation, crash->domain, now - crash->when, crash->isCleared});
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::vector<CrashReport> SuspectTable::recentReports(std::size_t n, Age now) const
+{
+    std::vector<CrashReport> reports;
+    for (const auto &[fingerprint, crashes] : m_suspects) {
+        auto some = reportsOf(fingerprint, now);
+        std::move(some.begin(), some.end(), std::back_inserter(reports));
     }
+    const auto middle = reports.begin() + static_cast<std::ptrdiff_t>(std::min(n, reports.size()));
+    std::partial_sort(reports.begin(), middle, reports.end(), [](const auto &a, const auto &b) {
+        return a.age < b.age;
+    });
+    reports.erase(middle, reports.end());
     return reports;
 }
 
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -2,6 +2,7 @@
 
 #include "suspect_type.h"
 
+#include <functional>
 #include <map>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,8 @@
                      std::string_view domain,
                      Age now);
 
-    /** Takes over a report of another process. */
-    void merge(const CrashReport &report, Age now);
+    /** Takes over a report of another process; false if it adds nothing to what is known. */
+    bool merge(const CrashReport &report, Age now);
 
     SuspectDecision decide(const Fingerprint &fingerprint, Age now) const;
 
@@ -38,8 +39,15 @@
     /** Reports about one fingerprint, to be sent along with a request that carries it. */
     std::vector<CrashReport> reportsOf(const Fingerprint &fingerprint, Age now) const;
 
-    /** Up to @p n reports for a gossip message: those sent least often so far, the most recent of them first. */
-    std::vector<CrashReport> nextReports(std::size_t n, Age now);
+    /**
+     * Up to @p n reports for a gossip message: those sent least often so far, the most recent of them first. The first
+     * one that @p fits rejects ends the message; it counts as not sent.
+     */
+    std::vector<CrashReport>
+    nextReports(std::size_t n, Age now, const std::function<bool(const CrashReport &)> &fits = {});
+
+    /** Up to @p n reports that still have an effect, the most recent first. */
+    std::vector<CrashReport> recentReports(std::size_t n, Age now) const;
 
     /** Forgets what has had no effect for the hold time. */
     void expire(Age now);
@@ -63,8 +71,8 @@
     std::vector<const Crash *> activeCrashes(const Crashes &crashes, Age now) const;
     bool isForwarded(const Crashes &crashes, Age now) const;
     bool makeRoom(Age now);
-    static void mergeInto(Crash &known, const Crash &news);
-    void insert(Crashes &crashes, Crash crash, Age now) const;
+    static bool mergeInto(Crash &known, const Crash &news);
+    bool insert(Crashes &crashes, Crash crash, Age now) const;
 
     SuspectSettings m_settings;
     Suspects m_suspects;
--- /dev/null
+++ b/src/suspect_sync.cpp
@@ -0,0 +1,173 @@
+#include "suspect_sync.h"
+
+#include "suspect_codec.h"
+
+namespace turmericline {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t gossipReports = 16;
+/** Leaves 400 of the 1,200 bytes of a gossip message for its other parts. */
+constexpr std::size_t gossipBytes = 800;
+constexpr std::size_t statusRows = 100;
+/** A message of another process carries fewer; bounds the work per message. */
+constexpr std::size_t maxReportsTaken = 256;
+
+SuspectSettings settingsFor(std::chrono::milliseconds hold)
+{
+    SuspectSettings settings;
+    settings.hold = hold;
+    return settings;
+}
+
+std::string_view nameOfAction(SuspectAction action)
+{
+    switch (action) {
+    case SuspectAction::Run:
+        return "run";
+    case SuspectAction::RunAlone:
+        return "run-alone";
+    case SuspectAction::Refuse:
+        return "refuse";
+    }
+    return {};
+}
+
+} // namespace
+
+SuspectSync::SuspectSync(std::chrono::milliseconds hold)
+    : m_started(std::chrono::steady_clock::now())
+    , m_table(settingsFor(hold))
+{
+}
+
+void SuspectSync::setNewsHandler(NewsHandler onNews)
+{
+    m_onNews = std::move(onNews);
+}
+
+Age SuspectSync::now() const
+{
+    return std::chrono::duration_cast<Age>(std::chrono::steady_clock::now() - m_started);
+}
+
+SuspectDecision SuspectSync::decide(std::string_view fingerprint) const
+{
+    const auto parsed = parseFingerprint(fingerprint);
+    return parsed ? m_table.decide(*parsed, now()) : SuspectDecision{};
+}
+
+void SuspectSync::recordCrash(const std::vector<Fingerprint> &inFlight,
+                              std::string_view server,
+                              std::uint64_t incarnation,
+                              std::string_view domain)
+{
+    Reports reports;
+    for (const auto &it : inFlight) {
+        reports.push_back({it, std::string(server), incarnation, std::string(domain), Age::zero(), false});
+    }
+    mergeFrom(reports, Origin::Own);
+}
+
+void SuspectSync::merge(const Reports &reports)
+{
+    mergeFrom(reports, Origin::Peer);
+}
+
+void SuspectSync::mergeFrom(const Reports &reports, Origin origin)
+{
+    Reports news;
+    for (const auto &it : reports) {
+        if (m_table.merge(it, now())) {
+            news.push_back(it);
+        }
+    }
+    if (!news.empty() && m_onNews) {
+        m_onNews(news, origin);
+    }
+}
+
+void SuspectSync::complete(std::string_view fingerprint)
+{
+    const auto parsed = parseFingerprint(fingerprint);
+    if (!parsed || m_table.decide(*parsed, now()).action == SuspectAction::Run) {
+        return;
+    }
+    m_table.complete(*parsed);
+    if (m_onNews) {
+        m_onNews(m_table.reportsOf(*parsed, now()), Origin::Own);
+    }
+}
+
+std::string SuspectSync::header(std::string_view fingerprint) const
+{
+    const auto parsed = parseFingerprint(fingerprint);
+    auto list = json::array();
+    for (const auto &it : parsed ? m_table.reportsOf(*parsed, now()) : Reports{}) {
+        list.push_back(encodeReport(it));
+    }
+    return list.empty() ? std::string() : list.dump();
+}
+
+void SuspectSync::takeHeader(std::string_view text)
+{
+    if (!text.empty()) {
+        takeReports(json::parse(text, nullptr, false));
+    }
+}
+
+json SuspectSync::gossip()
+{
+    m_table.expire(now());
+    auto list = json::array();
+    std::size_t used = 0;
+    m_table.nextReports(gossipReports, now(), [&](const CrashReport &report) {
+        auto encoded = encodeReport(report);
+        const auto size = json::to_msgpack(encoded).size();
+        if (used + size > gossipBytes) {
+            return false;
+        }
+        used += size;
+        list.push_back(std::move(encoded));
+        return true;
+    });
+    return list;
+}
+
+void SuspectSync::takeReports(const json &reports)
+{
+    if (!reports.is_array() || reports.size() > maxReportsTaken) {
+        return;
+    }
+    Reports read;
+    for (const auto &it : reports) {
+        if (auto report = decodeReport(it)) {
+            read.push_back(std::move(*report));
+        }
+    }
+    merge(read);
+}
+
+SuspectSync::Reports SuspectSync::recent(std::size_t n) const
+{
+    return m_table.recentReports(n, now());
+}
+
+json SuspectSync::status() const
+{
+    auto rows = json::array();
+    for (const auto &it : recent(statusRows)) {
+        const auto decision = m_table.decide(it.fingerprint, now());
+        rows.push_back({{"fingerprint", formatFingerprint(it.fingerprint)},
+                        {"server", it.server},
+                        {"domain", it.domain},
+                        {"age_s", std::chrono::duration_cast<std::chrono::seconds>(it.age).count()},
+                        {"cleared", it.isCleared},
+                        {"action", nameOfAction(decision.action)}});
+    }
+    return {{"fingerprints", m_table.size()}, {"crashes", rows}};
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/tests/unit_suspect_sync_test.cpp
@@ -0,0 +1,94 @@
+#include "config_sync_codec.h"
+#include "suspect_codec.h"
+#include "suspect_sync.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+
+/** The exchange of crash reports between processes. */
+class SuspectSyncTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SuspectSyncTest);
+    CPPUNIT_TEST(reportsSurviveTheCodec);
+    CPPUNIT_TEST(invalidReportsAreSkipped);
+    CPPUNIT_TEST(gossipIsBoundedAndComplete);
+    CPPUNIT_TEST(newsAreGivenOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::chrono::seconds hold{300};
+
+public:
+    /** Guards against fingerprints or ages that change on the way. */
+    void reportsSurviveTheCodec()
+    {
+        const CrashReport report{{~0ULL, 1}, "m1", ~0ULL, "d1", std::chrono::milliseconds(1500), true};
+        const auto read = decodeReport(fromMessage(toMessage(encodeReport(report))));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->fingerprint == report.fingerprint && read->server == report.server);
+        CPPUNIT_ASSERT(read->incarnation == report.incarnation && read->domain == report.domain);
+        CPPUNIT_ASSERT(read->age == report.age && read->isCleared);
+        CPPUNIT_ASSERT(parseFingerprint(formatFingerprint(report.fingerprint)) == report.fingerprint);
+        CPPUNIT_ASSERT(!parseFingerprint("12") && !parseFingerprint(std::string(32, 'g')));
+    }
+
+    /** Guards against a peer's broken message that ends the process or overflows an age. */
+    void invalidReportsAreSkipped()
+    {
+        SuspectSync sync(hold);
+        const auto good = encodeReport({{1, 2}, "m1", 1, "d1", Age::zero(), false});
+        auto negative = good;
+        negative[5] = -1;
+        auto huge = good;
+        huge[5] = ~0ULL;
+        auto longName = good;
+        longName[2] = std::string(65, 'x');
+        sync.takeReports({negative, huge, longName, 7, nullptr, nlohmann::json::array()});
+        sync.takeReports("text");
+        sync.takeHeader("[[");
+        CPPUNIT_ASSERT(sync.recent(9).empty());
+        sync.takeReports({negative, good});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sync.recent(9).size());
+    }
+
+    /** Guards against messages over the limit, and against reports that never get their turn. */
+    void gossipIsBoundedAndComplete()
+    {
+        SuspectSync from(hold);
+        SuspectSync to(hold);
+        std::vector<Fingerprint> inFlight;
+        constexpr std::size_t n = 64;
+        for (std::size_t i = 0; i < n; ++i) {
+            inFlight.push_back({i, ~0ULL});
+        }
+        from.recordCrash(inFlight, std::string(64, 's'), ~0ULL, std::string(64, 'd'));
+        for (std::size_t round = 0; round < n / 4; ++round) {
+            const auto part = from.gossip();
+            CPPUNIT_ASSERT(toMessage(part).size() <= 803); // The array's own header has three bytes.
+            to.takeReports(part);
+        }
+        CPPUNIT_ASSERT_EQUAL(n, to.recent(2 * n).size());
+    }
+
+    /** Guards against reports that go round for ever because each process takes them for new. */
+    void newsAreGivenOnce()
+    {
+        SuspectSync sync(hold);
+        int count = 0;
+        sync.setNewsHandler([&count](const SuspectSync::Reports &news, SuspectSync::Origin) {
+            count += static_cast<int>(news.size());
+        });
+        const CrashReport report{{1, 2}, "m1", 1, "d1", Age::zero(), false};
+        sync.merge({report, report});
+        sync.merge({report});
+        CPPUNIT_ASSERT_EQUAL(1, count);
+        sync.complete(formatFingerprint(report.fingerprint));
+        sync.complete(formatFingerprint(report.fingerprint));
+        CPPUNIT_ASSERT_EQUAL(2, count);
+        sync.merge({report});
+        CPPUNIT_ASSERT_EQUAL(2, count);
+        CPPUNIT_ASSERT(sync.decide(formatFingerprint(report.fingerprint)).action == SuspectAction::Run);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SuspectSyncTest);
