--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -64,6 +64,8 @@
     , m_selector(m_settings.domain)
     , m_resumptions({.budgetBurst = resumptionBurst, .budgetInitial = resumptionBurst})
     , m_tickets(m_agents, m_selector)
+    , m_suspects(m_settings.suspectHold)
+    , m_suspectEvents(io, m_suspects)
     , m_context{io,
                 m_settings,
                 m_document,
@@ -78,7 +80,9 @@
                 },
                 [this](const EntryCall &call) {
                     m_calls.erase(&call);
-                }}
+                },
+                m_suspects,
+                m_suspectEvents}
     , m_peerServer(io,
                    m_tls,
                    m_settings.address,
@@ -149,6 +153,7 @@
     m_sync.setAgentSource([this](bool isRound) {
         return m_agents.clients(isRound);
     });
+    m_sync.setSuspects(m_suspects);
     m_sync.start();
     m_quota.start();
     m_platform.start();
@@ -323,6 +328,8 @@
             {"connections", m_callers.connectionCount()},
             {"configuration", m_sync.status()},
             {"limits", m_quota.status()},
+            {"suspects", m_suspects.status()},
+            {"suspect_streams", m_suspectEvents.size()},
             {"platform_calls", m_platform.callCount()},
             {"servers", serverStatus()}};
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -70,6 +70,8 @@
     RetryBudget m_retries;
     RetryBudget m_resumptions;
     TicketIssuer m_tickets;
+    SuspectSync m_suspects;
+    SuspectEvents m_suspectEvents;
     EntryContext m_context;
     std::unordered_map<const EntryCall *, std::shared_ptr<EntryCall>> m_calls;
     std::unordered_map<std::uint64_t, std::weak_ptr<EntryCall>> m_callOfConnection;
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -137,6 +137,9 @@
 
 std::shared_ptr<AgentPeer> EntryCall::chooseServer()
 {
+    if (m_context.suspects.decide(m_request.fingerprint).action != SuspectAction::Run) {
+        return isolationPeer();
+    }
     const auto server = m_context.selector.choose(Clock::now(), m_request.service, routeRequest(), m_tried);
     return server ? m_context.agents.find(*server) : nullptr;
 }
@@ -151,7 +154,10 @@
 
 void EntryCall::attempt()
 {
-    if (const auto peer = chooseServer()) {
+    if (isRefusedSuspect()) {
+        giveUpSuspect(m_everSent ? Verdict::MayHaveRun
+                                 : refusalVerdict(m_request.isIdempotent, !m_request.key.empty()));
+    } else if (const auto peer = chooseServer()) {
         send(peer);
     } else {
         onNoServer();
@@ -194,6 +200,9 @@
     if (m_relay.nextOffset() > 0) {
         add(wire::resume, std::to_string(m_relay.nextOffset()));
     }
+    if (auto reports = m_context.suspects.header(m_request.fingerprint); !reports.empty()) {
+        add(wire::suspect, std::move(reports));
+    }
     return request;
 }
 
@@ -212,6 +221,7 @@
     m_attemptStarted = Clock::now();
     m_attemptOffset = m_relay.nextOffset();
     const auto self = shared_from_this();
+    m_context.events.ensure(peer->client);
     m_stream = peer->client->start(wireRequest(),
                                    {[self](int status, const HttpHeaders &headers) {
                                         self->onHead(status, headers);
@@ -308,6 +318,7 @@
         verdict = parseVerdict(headerValue(result.trailers, wire::verdict));
         reason = headerValue(result.trailers, wire::reason);
         noteAnswer(*peer, verdict);
+        m_context.suspects.takeHeader(headerValue(result.trailers, wire::suspect));
     } else {
         m_isServerGone = true;
         m_context.selector.onFailure(Clock::now(), peer->name);
@@ -370,7 +381,12 @@
         retryAfterDelay(decision.delay);
         return;
     }
-    giveUp({503, "unavailable", reason, m_everSent ? Verdict::MayHaveRun : verdict, retryAfter()});
+    const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
+    if (isRefusedSuspect()) {
+        giveUpSuspect(overall);
+        return;
+    }
+    giveUp({503, "unavailable", reason, overall, retryAfter()});
 }
 
 void EntryCall::retryAfterDelay(std::chrono::milliseconds delay)
@@ -420,6 +436,7 @@
 
 void EntryCall::answer()
 {
+    m_context.suspects.complete(m_request.fingerprint);
     if (m_request.isStream && m_status == 200) {
         finishStream(true, Verdict::Run, {});
         return;
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -24,6 +24,11 @@
     if (m_isDone) {
         return;
     }
+    const bool wouldRun = step.action == KeyedAction::Bind || step.action == KeyedAction::Run;
+    if (wouldRun && isRefusedSuspect()) {
+        perform(refuseKeyedSuspect());
+        return;
+    }
     switch (step.action) {
     case KeyedAction::Bind:
     case KeyedAction::SealUnbound:
@@ -43,6 +48,10 @@
         return;
     }
     case KeyedAction::Finish:
+        if (isRefusedSuspect()) {
+            giveUpSuspect(step.verdict);
+            return;
+        }
         if (m_refusal) {
             m_refusal->verdict = step.verdict;
             giveUp(*m_refusal);
--- /dev/null
+++ b/src/entry_suspect.cpp
@@ -0,0 +1,39 @@
+#include "entry_call.h"
+
+#include "suspect_codec.h"
+
+namespace turmericline {
+
+namespace {
+
+constexpr std::string_view refusalReason = "the request is suspected of crashing backend servers";
+
+} // namespace
+
+std::shared_ptr<AgentPeer> EntryCall::isolationPeer() const
+{
+    const auto names = m_context.selector.routable(Clock::now(), m_request.service, m_tried);
+    const std::vector<std::string_view> views(names.begin(), names.end());
+    const auto fingerprint = parseFingerprint(m_request.fingerprint).value_or(Fingerprint{});
+    const auto i = isolationTarget(fingerprint, views);
+    return i < names.size() ? m_context.agents.find(names[i]) : nullptr;
+}
+
+bool EntryCall::isRefusedSuspect() const
+{
+    return m_context.suspects.decide(m_request.fingerprint).action == SuspectAction::Refuse;
+}
+
+void EntryCall::giveUpSuspect(Verdict verdict)
+{
+    const auto decision = m_context.suspects.decide(m_request.fingerprint);
+    const auto after = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
+    giveUp({422, "suspected_of_crashing", std::string(refusalReason), verdict, after});
+}
+
+KeyedStep EntryCall::refuseKeyedSuspect()
+{
+    return m_keyed->refuse(refusalReason);
+}
+
+} // namespace turmericline
--- a/src/server_selector.cpp
+++ b/src/server_selector.cpp
@@ -127,6 +127,24 @@
     return key ? std::optional(group.names.at(*key)) : std::nullopt;
 }
 
+std::vector<std::string>
+ServerSelector::routable(TimePoint now, std::string_view service, std::span<const std::string> tried) const
+{
+    std::vector<std::string> names;
+    const auto it = m_groups.find(service);
+    if (it == m_groups.end()) {
+        return names;
+    }
+    for (const auto &server : it->second.table.servers()) {
+        const auto &name = it->second.names.at(server.key);
+        if (server.isRoutable && m_health.isRoutable(now, server.key)
+            && std::ranges::find(tried, name) == tried.end()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void ServerSelector::onStart(TimePoint now, std::string_view server, const RouteRequest &request)
 {
     if (auto *group = groupOf(server)) {
--- a/src/server_selector.h
+++ b/src/server_selector.h
@@ -31,6 +31,10 @@
     std::optional<std::string>
     choose(TimePoint now, std::string_view service, const RouteRequest &request, std::span<const std::string> tried);
 
+    /** Servers of the service that can take new work, without those in @p tried. */
+    std::vector<std::string>
+    routable(TimePoint now, std::string_view service, std::span<const std::string> tried) const;
+
     void onStart(TimePoint now, std::string_view server, const RouteRequest &request);
     void onEnd(std::string_view server);
     void
