Resolve the linter's findings in the fleet tests

Cause: clang-tidy over the new files reported a redundant declaration of environ, options taken by value, and a vector that grows in a loop (3 findings). No other finding in the nine files checked; scripts/lint as a whole was not finished.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -22,8 +22,6 @@
 using namespace turmericline;
 using nlohmann::json;
 
-extern char **environ;
-
 namespace {
 
 constexpr std::string_view callerKey = "fleet-key";
@@ -112,7 +110,7 @@
     return stream;
 }
 
-Fleet::Fleet(FleetOptions options)
+Fleet::Fleet(const FleetOptions &options)
     : m_directory(makeDirectory())
     , m_http(m_io)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -59,7 +59,7 @@
     using Answer = std::shared_ptr<FleetAnswer>;
     using Arguments = std::vector<std::string>;
 
-    explicit Fleet(FleetOptions options = {});
+    explicit Fleet(const FleetOptions &options = {});
     ~Fleet();
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
--- a/tests/holds_shutdown_test.cpp
+++ b/tests/holds_shutdown_test.cpp
@@ -121,6 +121,7 @@
         CPPUNIT_ASSERT(m_fleet->status("agent-m1").at("running").get<int>() > 0);
         terminate("agent-m1");
         std::vector<Fleet::Answer> later;
+        later.reserve(12);
         for (int i = 0; i < 12; ++i) {
             later.push_back(m_fleet->stream(Fleet::entries()[static_cast<std::size_t>(i) % 3], "later", 5, "later"));
         }
