Make peers carry most documents in the configuration test

Cause: counting what the cases did (scratch output) showed 362 patches and 494 whole documents from peers beside about 57,000 reads of the service: in a small world nearly every instance watches, so the exchange between peers, where the checks matter, was hardly exercised. Each case now lets only one to three of the domains ever reach the service.

--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -44,8 +44,11 @@
     using Store = BasicConfigStore<Checks>;
     using Time = typename Store::Clock::time_point;
 
-    explicit ConfigWorld(int instances)
+    /** Only the first @p serviceDomains domains ever reach the service, so that the others depend on their peers. */
+    ConfigWorld(int instances, int serviceDomains)
+        : m_serviceDomains(serviceDomains)
     {
+        setAllReachable();
         for (int i = 0; i < instances; ++i) {
             m_entries.push_back({fmt::format("e{}", i), fmt::format("d{}", i % worldDomains)});
         }
@@ -82,7 +85,7 @@
     void setService(ServiceMode mode, int domain, bool isReachable)
     {
         m_mode = mode;
-        m_reachable[domain] = isReachable;
+        m_reachable[domain] = isReachable && domain < m_serviceDomains;
     }
 
     void cut(int from, int to, bool isCut)
@@ -107,7 +110,7 @@
     void heal()
     {
         m_mode = ServiceMode::Up;
-        m_reachable.fill(true);
+        setAllReachable();
         m_cut = {};
         m_fault.reset();
     }
@@ -219,7 +222,8 @@
     std::set<DocumentDigest> m_rejectedByOne;
     std::vector<Message> m_messages;
     std::vector<Message> m_history;
-    std::array<bool, worldDomains> m_reachable{true, true, true};
+    int m_serviceDomains;
+    std::array<bool, worldDomains> m_reachable{};
     std::array<std::array<bool, worldDomains>, worldDomains> m_cut{};
     ServiceMode m_mode = ServiceMode::Up;
     std::optional<MessageFault> m_fault;
@@ -229,6 +233,13 @@
     int m_round = 0;
     Time m_now{std::chrono::hours(1)};
 
+    void setAllReachable()
+    {
+        for (int i = 0; i < worldDomains; ++i) {
+            m_reachable[i] = i < m_serviceDomains;
+        }
+    }
+
     /** The program of instance 0 is older than the others and rejects one kind of document. */
     static DocumentParse parseOlder(const nlohmann::json &json)
     {
--- a/tests/holds_configuration_test.cpp
+++ b/tests/holds_configuration_test.cpp
@@ -138,14 +138,14 @@
 template<typename Checks>
 void checkSafety()
 {
-    ConfigWorld<Checks> world(*rc::gen::inRange(1, 8));
+    ConfigWorld<Checks> world(*rc::gen::inRange(1, 8), *rc::gen::inRange(1, worldDomains + 1));
     runWorld(world);
 }
 
 /** Safety, and once the faults have ended, every instance reaches the highest document. */
 void checkWorld()
 {
-    ConfigWorld<ApplyChecks> world(*rc::gen::inRange(1, 8));
+    ConfigWorld<ApplyChecks> world(*rc::gen::inRange(1, 8), *rc::gen::inRange(1, worldDomains + 1));
     runWorld(world);
     world.heal();
     runRounds(world, roundsAfterFaults);
