--- /dev/null
+++ b/src/expert_map_type.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace turmericline {
+
+/** Position of a rank in its group. */
+using RankIndex = std::uint32_t;
+
+/** One expert map: a later epoch replaces an earlier one, and the digest tells apart two maps of one epoch. */
+struct MapVersion
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t digest = 0;
+
+    friend bool operator==(const MapVersion &, const MapVersion &) = default;
+
+    friend bool operator<(const MapVersion &a, const MapVersion &b)
+    {
+        return std::tie(a.epoch, a.digest) < std::tie(b.epoch, b.digest);
+    }
+};
+
+/** One life of a rank's process: its start time, raised above any earlier life that peers report, and random bits. */
+struct RankIncarnation
+{
+    std::uint64_t start = 0;
+    std::uint64_t nonce = 0;
+
+    friend bool operator==(const RankIncarnation &, const RankIncarnation &) = default;
+
+    friend bool operator<(const RankIncarnation &a, const RankIncarnation &b)
+    {
+        return std::tie(a.start, a.nonce) < std::tie(b.start, b.nonce);
+    }
+};
+
+/**
+ * Sent until a generation has formed. A rank's message of a generation never changes once it holds a map. Steps of a
+ * generation count up from its number.
+ */
+struct JoinMessage
+{
+    RankIndex sender = 0;
+    std::uint64_t generation = 0;
+    std::vector<RankIncarnation> members; ///< Of all ranks, as the sender knows them.
+    std::vector<MapVersion> held; ///< Empty while the sender has no map yet.
+    std::uint64_t fencingToken = 0;
+    bool isAnswer = false; ///< Sent by a rank that has formed; it needs no answer.
+};
+
+/** Sent at the end of a step. A rank's message of a step never changes. */
+struct StepMessage
+{
+    RankIndex sender = 0;
+    std::uint64_t generation = 0;
+    std::uint64_t step = 0;
+    MapVersion prepared;
+};
+
+using GroupMessage = std::variant<JoinMessage, StepMessage>;
+
+/** Asks a rank to load the weights of a map. */
+struct PrepareOrder
+{
+    std::uint64_t fencingToken = 0;
+    MapVersion map;
+};
+
+/** A message to one rank, or to all others. */
+struct GroupSend
+{
+    std::optional<RankIndex> to;
+    GroupMessage message;
+};
+
+/** What the rank's process has to do next. */
+struct GroupActions
+{
+    std::vector<GroupSend> messages;
+    std::optional<MapVersion> load; ///< Load the weights and report the result.
+    std::optional<std::uint64_t> runStep; ///< Run this step on the map in use.
+};
+
+} // namespace turmericline
