Report suspicions to neighbours, and probe one at a time

Cause: neighbours' reports had no form on the wire, and every entry sent a suspected server one request a second whether or not the last probe had ended.

Ruled out: a shared reports list that is passed on, since a false suspicion would then keep itself alive.

--- a/src/health.cpp
+++ b/src/health.cpp
@@ -75,6 +75,7 @@
         row.latency = 0;
     }
     row.lastSuccess = now;
+    row.isProbed = false;
     row.failures = 0;
     row.latency = row.latency == 0 ? latency.count() : row.latency + smoothing * (latency.count() - row.latency);
     if (row.isSuspected && ++row.successes >= m_config.successesToTrust) {
@@ -91,6 +92,7 @@
     }
     Row &row = it->second;
     row.successes = 0;
+    row.isProbed = false;
     if (++row.failures >= m_config.failuresToSuspect && !row.isSuspected) {
         row.isSuspected = true;
         row.lastProbe = now;
@@ -165,10 +167,12 @@
         return false;
     }
     Row &row = m_rows.at(server);
-    if (now - row.lastProbe < m_config.probePeriod) {
+    // One probe at a time: a returning server would otherwise get more probes from all entries than it can answer.
+    if (now - row.lastProbe < (row.isProbed ? m_config.probeTimeout : m_config.probePeriod)) {
         return false;
     }
     row.lastProbe = now;
+    row.isProbed = true;
     return true;
 }
 
@@ -213,7 +217,7 @@
 {
     std::vector<HealthReport> out;
     for (const auto &[key, row] : m_rows) {
-        if (row.isSuspected && out.size() < limit) {
+        if (row.isSuspected && row.successes == 0 && out.size() < limit) {
             out.push_back({key, row.incarnation, HealthState::Suspected});
         }
     }
--- a/src/health.h
+++ b/src/health.h
@@ -39,7 +39,7 @@
     bool takeProbe(TimePoint now, ServerKey server);
     /** Latency divided by the median of all servers; 1 if unknown. */
     double slowness(ServerKey server) const;
-    /** Own suspicions for gossip, at most @p limit. What was only reported is not passed on. */
+    /** Own suspicions without an answer since, at most @p limit. What was only reported is not passed on. */
     std::vector<HealthReport> suspects(std::size_t limit) const;
 
 private:
@@ -57,6 +57,7 @@
         unsigned successes = 0; ///< In a row, since it was suspected.
         unsigned ticksAcross = 0;
         bool isSuspected = false;
+        bool isProbed = false; ///< A probe has not ended yet.
         bool isSlow = false;
         bool isLeaving = false;
         ListedState listed = ListedState::Live;
--- a/src/health_type.h
+++ b/src/health_type.h
@@ -50,6 +50,7 @@
     std::chrono::milliseconds reportLifetime{5000};
     std::chrono::milliseconds evidenceLifetime{2000}; ///< An own success outweighs reports for this long.
     std::chrono::milliseconds probePeriod{1000};
+    std::chrono::milliseconds probeTimeout{10'000}; ///< Until then an unanswered probe holds back the next one.
     std::chrono::milliseconds absentTime{30'000}; ///< How long the instance list may be wrong.
     double slowFactor = 2.0; ///< Of the median, to become slow.
     double normalFactor = 1.5; ///< Of the median, to become live again.
--- a/src/server_selector.cpp
+++ b/src/server_selector.cpp
@@ -11,12 +11,18 @@
 
 } // namespace
 
-ServerSelector::ServerSelector(std::string domain)
+ServerSelector::ServerSelector(std::string domain, const HealthConfig &health, std::uint64_t seed)
     : m_domain(std::move(domain))
-    , m_random(std::random_device{}())
+    , m_health(health)
+    , m_random(seed)
 {
 }
 
+std::uint64_t ServerSelector::randomSeed()
+{
+    return std::random_device{}();
+}
+
 void ServerSelector::setDocument(TimePoint now, const Document &document)
 {
     for (auto &[service, group] : m_groups) {
@@ -149,6 +155,16 @@
     }
 }
 
+void ServerSelector::onHealthReport(TimePoint now, EntryKey reporter, const HealthReport &report)
+{
+    m_health.onReport(now, reporter, report); // The next tick takes it over into the routing table.
+}
+
+std::vector<HealthReport> ServerSelector::suspects(std::size_t limit) const
+{
+    return m_health.suspects(limit);
+}
+
 HealthState ServerSelector::state(TimePoint now, std::string_view server) const
 {
     return m_health.state(now, serverKey(server));
--- a/src/server_selector.h
+++ b/src/server_selector.h
@@ -20,7 +20,8 @@
 class ServerSelector
 {
 public:
-    explicit ServerSelector(std::string domain);
+    /** A fixed @p seed makes the choices repeatable. */
+    explicit ServerSelector(std::string domain, const HealthConfig &health = {}, std::uint64_t seed = randomSeed());
 
     void setDocument(TimePoint now, const Document &document);
     void setInstances(TimePoint now, const std::vector<InstanceInfo> &instances);
@@ -39,6 +40,11 @@
     /** Load from the headers of an answer, which is as old as the answer's way. */
     void onLoad(TimePoint now, std::string_view server, double inFlightAndQueued);
 
+    /** What a neighbour says about a server. */
+    void onHealthReport(TimePoint now, EntryKey reporter, const HealthReport &report);
+    /** Own suspicions for gossip, at most @p limit. */
+    std::vector<HealthReport> suspects(std::size_t limit) const;
+
     HealthState state(TimePoint now, std::string_view server) const;
     /** Work of a service's servers divided by their slots, for Retry-After. */
     double load(std::string_view service) const;
@@ -50,6 +56,7 @@
         std::unordered_map<ServerKey, std::string> names;
     };
 
+    static std::uint64_t randomSeed();
     void refreshHealth(TimePoint now);
     Group *groupOf(std::string_view server);
 
--- a/tests/unit_route_test.cpp
+++ b/tests/unit_route_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(oldReportsCountAsTheMean);
     CPPUNIT_TEST(prefixMemoryIsBounded);
     CPPUNIT_TEST(failuresSuspectAndProbesTrust);
+    CPPUNIT_TEST(probesOneAtATime);
     CPPUNIT_TEST(ownTrafficOutweighsListAndReports);
     CPPUNIT_TEST(leavingWins);
     CPPUNIT_TEST(slownessHasHysteresis);
@@ -110,6 +111,29 @@
     }
 
     /** The list is wrong for up to 30 s, and a neighbour may be the one that is cut off. */
+    /** Probes of all entries at once overload a server that returns, and its answers then come too late for trust. */
+    void probesOneAtATime()
+    {
+        const HealthConfig config;
+        HealthTable health(config);
+        health.add(m_now, 1);
+        for (unsigned i = 0; i < config.failuresToSuspect; ++i) {
+            health.onFailure(m_now, 1);
+        }
+        auto now = m_now + config.probePeriod;
+        CPPUNIT_ASSERT(health.takeProbe(now, 1));
+        CPPUNIT_ASSERT(!health.takeProbe(now + config.probeTimeout - 1ms, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, health.suspects(8).size());
+        now += config.probePeriod;
+        health.onSuccess(now, 1, 9, 1ms);
+        CPPUNIT_ASSERT_MESSAGE("reported although it answers", health.suspects(8).empty());
+        CPPUNIT_ASSERT(health.takeProbe(now, 1));
+        health.onFailure(now, 1);
+        CPPUNIT_ASSERT(health.takeProbe(now + config.probePeriod, 1));
+        CPPUNIT_ASSERT_MESSAGE("a lost probe ends all probing",
+                               health.takeProbe(now + config.probePeriod + config.probeTimeout, 1));
+    }
+
     void ownTrafficOutweighsListAndReports()
     {
         HealthTable health;
