End a probe when its request ends in any way

Cause: a probe that the agent rejects as busy, or that its caller cancels, is neither a success nor a failure, and held back the next one for 10 s. ServerSelector::onEnd now ends it; the probe period still applies.

Ruled out: waiting for the probe's timeout alone, for the reason above.

Tests: RouteTest 9 and HealthSyncTest 4 cases pass, linked by hand from their objects. The whole build, lint and scripts/test were not run.

--- a/src/health.cpp
+++ b/src/health.cpp
@@ -99,6 +99,14 @@
     }
 }
 
+void HealthTable::onEnd(ServerKey server)
+{
+    const auto it = m_rows.find(server);
+    if (it != m_rows.end()) {
+        it->second.isProbed = false;
+    }
+}
+
 void HealthTable::onReport(TimePoint now, EntryKey reporter, const HealthReport &report)
 {
     const auto it = m_rows.find(report.server);
--- a/src/health.h
+++ b/src/health.h
@@ -29,6 +29,8 @@
     void onSuccess(TimePoint now, ServerKey server, std::uint64_t incarnation, std::chrono::duration<double> latency);
     /** A connection failed, or a request timed out. A rejection by the agent is not a failure. */
     void onFailure(TimePoint now, ServerKey server);
+    /** A request ended in any way, such as by a rejection, which says nothing about health but ends a probe. */
+    void onEnd(ServerKey server);
     void onReport(TimePoint now, EntryKey reporter, const HealthReport &report);
     /** Compares latencies; call every second. */
     void tick(TimePoint now);
--- a/src/server_selector.cpp
+++ b/src/server_selector.cpp
@@ -122,6 +122,7 @@
 
 void ServerSelector::onEnd(std::string_view server)
 {
+    m_health.onEnd(serverKey(server));
     if (auto *group = groupOf(server)) {
         group->table.onEnd(serverKey(server));
     }
--- a/tests/unit_route_test.cpp
+++ b/tests/unit_route_test.cpp
@@ -129,9 +129,12 @@
         CPPUNIT_ASSERT_MESSAGE("reported although it answers", health.suspects(8).empty());
         CPPUNIT_ASSERT(health.takeProbe(now, 1));
         health.onFailure(now, 1);
-        CPPUNIT_ASSERT(health.takeProbe(now + config.probePeriod, 1));
-        CPPUNIT_ASSERT_MESSAGE("a lost probe ends all probing",
-                               health.takeProbe(now + config.probePeriod + config.probeTimeout, 1));
+        now += config.probePeriod;
+        CPPUNIT_ASSERT(health.takeProbe(now, 1));
+        health.onEnd(1);
+        now += config.probePeriod;
+        CPPUNIT_ASSERT_MESSAGE("a rejection holds back probes", health.takeProbe(now, 1));
+        CPPUNIT_ASSERT_MESSAGE("a lost probe ends all probing", health.takeProbe(now + config.probeTimeout, 1));
     }
 
     void ownTrafficOutweighsListAndReports()
