--- a/src/health.h
+++ b/src/health.h
@@ -29,6 +29,8 @@
     void onSuccess(TimePoint now, ServerKey server, std::uint64_t incarnation, std::chrono::duration<double> latency);
     /** A connection failed, or a request timed out. A rejection by the agent is not a failure. */
     void onFailure(TimePoint now, ServerKey server);
+    /** A request ended in any way, such as by a rejection, which says nothing about health but ends a probe. */
+    void onEnd(ServerKey server);
     void onReport(TimePoint now, EntryKey reporter, const HealthReport &report);
     /** Compares latencies; call every second. */
     void tick(TimePoint now);
@@ -39,7 +41,7 @@
     bool takeProbe(TimePoint now, ServerKey server);
     /** Latency divided by the median of all servers; 1 if unknown. */
     double slowness(ServerKey server) const;
-    /** Own suspicions for gossip, at most @p limit. What was only reported is not passed on. */
+    /** Own suspicions without an answer since, at most @p limit. What was only reported is not passed on. */
     std::vector<HealthReport> suspects(std::size_t limit) const;
 
 private:
@@ -57,6 +59,7 @@
         unsigned successes = 0; ///< In a row, since it was suspected.
         unsigned ticksAcross = 0;
         bool isSuspected = false;
+        bool isProbed = false; ///< A probe has not ended yet.
         bool isSlow = false;
         bool isLeaving = false;
         ListedState listed = ListedState::Live;
--- a/src/server_selector.cpp
+++ b/src/server_selector.cpp
@@ -13,12 +13,18 @@
 
 } // namespace
 
-ServerSelector::ServerSelector(std::string domain)
+ServerSelector::ServerSelector(std::string domain, const HealthConfig &health, std::uint64_t seed)
     : m_domain(std::move(domain))
-    , m_random(std::random_device{}())
+    , m_health(health)
+    , m_random(seed)
 {
 }
 
+std::uint64_t ServerSelector::randomSeed()
+{
+    return std::random_device{}();
+}
+
 void ServerSelector::setDocument(TimePoint now, const Document &document)
 {
     for (auto &[service, group] : m_groups) {
@@ -154,6 +160,7 @@
 
 void ServerSelector::onEnd(std::string_view server)
 {
+    m_health.onEnd(serverKey(server));
     if (auto *group = groupOf(server)) {
         group->table.onEnd(serverKey(server));
     }
@@ -186,6 +193,16 @@
     }
 }
 
+void ServerSelector::onHealthReport(TimePoint now, EntryKey reporter, const HealthReport &report)
+{
+    m_health.onReport(now, reporter, report); // The next tick takes it over into the routing table.
+}
+
+std::vector<HealthReport> ServerSelector::suspects(std::size_t limit) const
+{
+    return m_health.suspects(limit);
+}
+
 HealthState ServerSelector::state(TimePoint now, std::string_view server) const
 {
     return m_health.state(now, serverKey(server));
