Close connections between own processes that had no stream for 60 s

Cause: gossip reaches a random entry and a random agent every second and calls reach any agent, and H2Client kept each connection for good. At the target size an entry would end up with about 7,100 agents and 1,900 entries in each direction; at 118 KB per connection (scripts/measure_capacity agents, 64 to 300 connections, before) that is 1.3 GB of the 256 MB, worked out. With the timeout about 970 remain. The client starts all streams, so it alone can tell that nothing is in flight; the next request dials again, and a lost connection already makes the entry forget the agent's age.

--- a/src/h2_client.cpp
+++ b/src/h2_client.cpp
@@ -114,6 +114,8 @@
     asio::steady_timer pingTimer;
     std::chrono::steady_clock::time_point lastHeard;
     bool pingScheduled = false;
+    asio::steady_timer idleTimer;
+    std::chrono::steady_clock::time_point lastUsed;
 
     Impl(asio::io_context &context, PeerTls &peerTls, std::string addr, H2ClientConfig cfg)
         : io(context)
@@ -121,6 +123,7 @@
         , address(std::move(addr))
         , config(cfg)
         , pingTimer(context)
+        , idleTimer(context)
     {
     }
 
@@ -137,6 +140,7 @@
         if (it == streams.end()) {
             return;
         }
+        lastUsed = std::chrono::steady_clock::now();
         const auto handlers = std::move(it->second.handlers);
         byWireId.erase(it->second.wireId);
         streams.erase(it);
@@ -183,6 +187,7 @@
     void dial();
     void adopt(TlsStream stream);
     void schedulePing();
+    void scheduleIdleClose();
 };
 
 void H2ClientConnection::onHeader(std::int32_t id, std::string_view name, std::string_view value)
@@ -323,8 +328,31 @@
     }
     connection = std::make_shared<H2ClientConnection>(std::move(stream), *this);
     lastHeard = std::chrono::steady_clock::now();
+    lastUsed = lastHeard;
     connection->start();
     submitWaiting();
+    scheduleIdleClose();
+}
+
+void H2Client::Impl::scheduleIdleClose()
+{
+    idleTimer.expires_at(lastUsed + config.idleTimeout);
+    idleTimer.async_wait([weak = weak_from_this()](asio::error_code ec) {
+        const auto self = weak.lock();
+        if (!self || ec || !self->connection) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (!self->streams.empty()) {
+            self->lastUsed = now;
+        }
+        if (now - self->lastUsed < self->config.idleTimeout) {
+            self->scheduleIdleClose();
+            return;
+        }
+        const auto idle = self->connection;
+        idle->close("idle");
+    });
 }
 
 void H2Client::Impl::schedulePing()
@@ -365,6 +393,7 @@
 {
     m_impl->stopped = true;
     m_impl->pingTimer.cancel();
+    m_impl->idleTimer.cancel();
     m_impl->streams.clear();
     m_impl->byWireId.clear();
     if (const auto open = m_impl->connection) {
@@ -377,6 +406,7 @@
 {
     auto &impl = *m_impl;
     const auto id = ++impl.lastId;
+    impl.lastUsed = std::chrono::steady_clock::now();
     auto &stream = impl.streams[id];
     stream.request = std::move(request);
     stream.handlers = std::move(handlers);
--- a/src/h2_client.h
+++ b/src/h2_client.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds connectTimeout{1'000}; ///< TCP connect and TLS handshake together.
     std::chrono::milliseconds pingInterval{500}; ///< While streams are open.
     std::chrono::milliseconds pingTimeout{2'000}; ///< A silent peer is given up after this.
+    /** A connection without streams is closed after this; gossip reaches every process in time, so they would add up. */
+    std::chrono::milliseconds idleTimeout{60'000};
 };
 
 /**
--- a/tests/unit_h2_test.cpp
+++ b/tests/unit_h2_test.cpp
@@ -1,6 +1,7 @@
 #include "h2_client.h"
 #include "h2_server.h"
 
+#include <asio/steady_timer.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace turmericline;
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(lostConnectionMayHaveSent);
     CPPUNIT_TEST(drainRefusesAsNotSent);
     CPPUNIT_TEST(refusedConnectionIsNotSent);
+    CPPUNIT_TEST(idleConnectionIsClosed);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context m_io;
@@ -210,6 +212,48 @@
         CPPUNIT_ASSERT_EQUAL(std::string("late"), first.body);
     }
 
+    /** Guards against connections to every process of the fleet that gossip once spoke to. */
+    void idleConnectionIsClosed()
+    {
+        std::shared_ptr<H2ServerStream> held;
+        H2Server server(m_io, m_tls, "127.0.0.1", 0, [&held](const std::shared_ptr<H2ServerStream> &stream) {
+            held = stream;
+        });
+        H2ClientConfig config;
+        config.idleTimeout = std::chrono::milliseconds(1);
+        H2Client client(m_io, m_tls, at(server), config);
+        Answer answer;
+        send(client, answer, {"POST", "/run", {}, ""});
+        runUntil([&] {
+            return held != nullptr;
+        });
+        // Several idle timeouts pass, but a stream is open.
+        asio::steady_timer timer(m_io, std::chrono::milliseconds(20));
+        bool isOver = false;
+        timer.async_wait([&isOver](asio::error_code) {
+            isOver = true;
+        });
+        runUntil([&] {
+            return isOver;
+        });
+        CPPUNIT_ASSERT(client.isConnected());
+        held->reply(200, {}, "late");
+        runUntil([&] {
+            return answer.done;
+        });
+        CPPUNIT_ASSERT(answer.result.complete);
+        runUntil([&] {
+            return !client.isConnected() && server.connectionCount() == 0;
+        });
+        // The next request dials again.
+        send(client, answer, {"POST", "/run", {}, ""});
+        held.reset();
+        runUntil([&] {
+            return held != nullptr;
+        });
+        CPPUNIT_ASSERT(client.isConnected());
+    }
+
     void refusedConnectionIsNotSent()
     {
         H2Client client(m_io, m_tls, "127.0.0.1:1");
