--- a/src/h2_connection.cpp
+++ b/src/h2_connection.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t maxHeaderListBytes = 64 * 1024;
 constexpr std::size_t frameHeaderBytes = 9;
 /** A connection that has sent a whole document must not keep a buffer of its size. */
-constexpr std::size_t maxKeptBufferBytes = 16 * 1024;
+constexpr std::size_t maxKeptBufferBytes = 16U << 10U;
 
 std::string_view view(const std::uint8_t *data, std::size_t size)
 {
