Refuse bad and excess requests of callers with a clear error

Cause: heads above the limits, excess connections and tickets with a large body were closed, left in the backlog or accepted; a wrong method got 400 or 200; repeated Idempotency-Key or Authorization headers were taken by their first value; a header value with a blank at its end passed RESTinio but was rejected by HTTP/2, so a valid call got 503; and a caller that disconnected before its first token was not noticed, since RESTinio reads nothing while its only request slot is taken.

Now the limits that the handler answers (431, 413, 503) are half of RESTinio's hard ones, with a margin of connections for 503; RESTinio keeps a second slot towards callers, so that a read is pending while a call runs, and pipelined requests still reach the entry one at a time. Ruled out: an answer after syntax errors, beyond the hard limits or after the read timeout, because RESTinio 0.6 publishes no hook between these and the end of the connection; the test states these cases.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -56,6 +56,30 @@
     return {400, "invalid_request", std::move(message), Verdict::NotRun, {}};
 }
 
+/** Control characters other than the tab, which HTTP allows in a header value. */
+bool holdsControlByte(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+        return (c < 0x20 && c != '\t') || c == 0x7f;
+    });
+}
+
+/** Says which header of those that must be unambiguous is repeated, or given without a value. */
+std::string_view ambiguousHeader(const HttpRequest &request)
+{
+    constexpr std::array<std::string_view, 4> singleHeaders{
+        "Authorization", "Idempotency-Key", "X-Deadline-Ms", "X-Class"};
+    for (const auto name : singleHeaders) {
+        const auto count = std::count_if(request.headers.begin(), request.headers.end(), [name](const auto &it) {
+            return equalsIgnoringCase(it.first, name);
+        });
+        if (count > 1 || (count == 1 && request.header(name).empty())) {
+            return name;
+        }
+    }
+    return {};
+}
+
 /** Start of the prompt, which decides about cache affinity. */
 std::string promptStart(const json &body)
 {
@@ -220,7 +244,7 @@
         return Refusal{404, "not_found", "unknown path", Verdict::NotRun, {}};
     }
     if (isModel && request.method != "POST") {
-        return Refusal{405, "method_not_allowed", "use POST", Verdict::NotRun, {}};
+        return wrongMethod("POST");
     }
     if (auto refusal = isModel ? readModelBody(document, plan, call) : readServicePath(document, plan, call)) {
         return refusal;
@@ -270,6 +294,40 @@
                    {}};
 }
 
+Refusal wrongMethod(std::string method)
+{
+    return {405, "method_not_allowed", "use " + method, Verdict::NotRun, {}, method};
+}
+
+std::optional<Refusal> checkLimits(const EntrySettings &settings, const HttpRequest &request)
+{
+    const auto hasKey = std::any_of(request.headers.begin(), request.headers.end(), [](const auto &it) {
+        return equalsIgnoringCase(it.first, "Idempotency-Key") && !it.second.empty();
+    });
+    const auto verdict = refusalVerdict(false, hasKey);
+    if (request.isExcessConnection) {
+        return Refusal{503, "too_many_connections", "too many connections", verdict, std::chrono::seconds(1)};
+    }
+    if (request.isHeadTooLarge) {
+        return Refusal{431, "head_too_large", "the request line and headers are too large", verdict, {}};
+    }
+    if (request.body.size() > settings.maxBodyBytes) {
+        const auto limit = std::to_string(settings.maxBodyBytes);
+        return Refusal{413, "too_large", "the body is larger than " + limit + " bytes", verdict, {}};
+    }
+    if (std::any_of(request.headers.begin(), request.headers.end(), [](const auto &it) {
+            return holdsControlByte(it.second);
+        })) {
+        // RESTinio passes them, but HTTP/2 does not carry them to an agent.
+        return Refusal{400, "invalid_request", "a header holds a control character", verdict, {}};
+    }
+    if (const auto name = ambiguousHeader(request); !name.empty()) {
+        const auto message = std::string(name) + " must be given once, with a value";
+        return Refusal{400, "invalid_request", message, verdict, {}};
+    }
+    return std::nullopt;
+}
+
 std::variant<CallerRequest, Refusal>
 readCallerRequest(const Document &document, const EntrySettings &settings, const HttpRequest &request)
 {
@@ -278,13 +336,6 @@
         return *refusal;
     }
     CallerRequest call;
-    if (request.body.size() > settings.maxBodyBytes) {
-        return Refusal{413,
-                       "too_large",
-                       "the body is larger than " + std::to_string(settings.maxBodyBytes) + " bytes",
-                       refusalVerdict(false, !request.header("Idempotency-Key").empty()),
-                       {}};
-    }
     const auto &row = document.workspaces[std::get<Id<Workspace>>(workspace)];
     if (auto refusal = readAll(document, settings, request, row, call)) {
         refusal->verdict = refusalVerdict(call.isIdempotent, !call.key.empty());
@@ -296,9 +347,12 @@
 std::variant<Id<Service>, Refusal>
 readTicketRequest(const Document &document, Id<Workspace> workspace, const HttpRequest &request)
 {
+    if (request.method != "POST") {
+        return wrongMethod("POST");
+    }
     const auto body = json::parse(request.body, nullptr, false);
-    if (request.method != "POST" || !body.is_object() || !body.contains("service") || !body["service"].is_string()) {
-        return invalid("use POST with the body {\"service\": NAME}");
+    if (!body.is_object() || !body.contains("service") || !body["service"].is_string()) {
+        return invalid("the body must be {\"service\": NAME}");
     }
     const auto name = body["service"].get<std::string>();
     const auto id = document.services.find(name);
@@ -327,6 +381,9 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
         headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
     }
+    if (!refusal.allow.empty()) {
+        headers.emplace_back("Allow", refusal.allow);
+    }
     responder.reply(refusal.status, std::move(headers), refusalBody(refusal));
 }
 
--- a/src/caller_request.h
+++ b/src/caller_request.h
@@ -20,6 +20,7 @@
     std::string message;
     Verdict verdict = Verdict::NotRun;
     std::optional<std::chrono::milliseconds> retryAfter;
+    std::string allow = {}; ///< Method that a 405 names.
 };
 
 /** A valid request of a caller, independent of the document version it was read under. */
@@ -50,7 +51,13 @@
 /** Says whether the call can be told not-run by an entry alone: not if an earlier copy may have run. */
 Verdict refusalVerdict(bool isIdempotent, bool hasKey);
 
-/** Validates a caller's request against the document. */
+/** The refusal of a method other than @p method. */
+Refusal wrongMethod(std::string method);
+
+/** Refuses what holds for every path: too many connections, oversize, ambiguous headers. */
+std::optional<Refusal> checkLimits(const EntrySettings &settings, const HttpRequest &request);
+
+/** Validates a caller's request, which has passed checkLimits(), against the document. */
 std::variant<CallerRequest, Refusal>
 readCallerRequest(const Document &document, const EntrySettings &settings, const HttpRequest &request);
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -29,6 +29,7 @@
     config.maxBodyBytes = settings.maxBodyBytes;
     config.maxConnections = settings.maxConnections;
     config.readTimeout = settings.readTimeout;
+    config.readsAhead = true;
     if (!settings.tlsCertificate.empty()) {
         config.tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
         config.tls->use_certificate_chain_file(settings.tlsCertificate);
@@ -131,6 +132,10 @@
 
 void Entry::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
+    if (const auto refusal = checkLimits(m_settings, request)) {
+        sendRefusal(*responder, *refusal);
+        return;
+    }
     if (m_document.version == 0) {
         sendRefusal(*responder,
                     {503,
@@ -193,6 +198,10 @@
         sendRefusal(responder, *refusal);
         return;
     }
+    if (request.method != "GET") {
+        sendRefusal(responder, wrongMethod("GET"));
+        return;
+    }
     auto data = nlohmann::json::array();
     const auto &plan = m_document.plans[m_document.workspaces[std::get<Id<Workspace>>(workspace)].plan];
     for (const auto id : plan.services) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,20 +3,15 @@
 #include <restinio/all.hpp>
 #include <restinio/tls.hpp>
 
+#include <asio/post.hpp>
+
 #include <algorithm>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace turmericline {
 
 namespace {
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
-               return std::tolower(x) == std::tolower(y);
-           });
-}
-
 restinio::http_status_line_t statusLine(int status)
 {
     switch (status) {
@@ -42,6 +37,8 @@
         return restinio::status_unprocessable_entity();
     case 429:
         return restinio::status_too_many_requests();
+    case 431:
+        return restinio::status_request_header_fields_too_large();
     case 500:
         return restinio::status_internal_server_error();
     case 502:
@@ -63,19 +60,40 @@
     }
 }
 
+struct Connection
+{
+    bool isExcess = false; ///< Accepted beyond the limit.
+    bool isBusy = false; ///< A request is with the handler.
+    restinio::request_handle_t waiting; ///< Pipelined behind that request.
+};
+
 /** Open connections of one server, kept by RESTinio's state listener. */
-struct ConnectionTable
+struct ConnectionTable : public std::enable_shared_from_this<ConnectionTable>
 {
-    std::unordered_set<std::uint64_t> open;
+    ConnectionTable(asio::io_context &context, const HttpServerConfig &serverConfig)
+        : io(context)
+        , config(serverConfig)
+    {
+    }
+
+    asio::io_context &io;
+    const HttpServerConfig config;
+    std::unordered_map<std::uint64_t, Connection> open;
+    HttpServer::Handler onRequest;
     HttpServer::CloseHandler onClose;
 
+    void take(restinio::request_handle_t handle);
+    /** The request in work was answered. */
+    void finish(std::uint64_t id, bool isClosing);
+
     // Name required by RESTinio.
     void
     state_changed(const restinio::connection_state::notice_t &notice) noexcept // NOLINT(readability-identifier-naming)
     {
         const auto id = notice.connection_id();
         if (restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
-            open.insert(id);
+            const bool isExcess = open.size() >= config.maxConnections;
+            open[id].isExcess = isExcess;
         } else if (open.erase(id) != 0 && onClose) {
             onClose(id);
         }
@@ -96,8 +114,10 @@
 class RestinioResponder final : public HttpResponder
 {
 public:
-    explicit RestinioResponder(restinio::request_handle_t request)
+    RestinioResponder(restinio::request_handle_t request, std::shared_ptr<ConnectionTable> connections, bool isClosing)
         : m_request(std::move(request))
+        , m_connections(std::move(connections))
+        , m_isClosing(isClosing)
     {
     }
 
@@ -109,8 +129,11 @@
         auto builder = m_request->create_response(statusLine(status));
         addHeaders(builder, headers);
         builder.set_body(std::move(body));
+        if (m_isClosing) {
+            builder.connection_close();
+        }
         builder.done();
-        m_request.reset();
+        finish();
     }
 
     void beginStream(int status, HttpHeaders headers) override
@@ -120,6 +143,9 @@
         }
         m_stream.emplace(m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
         addHeaders(*m_stream, headers);
+        if (m_isClosing) {
+            m_stream->connection_close();
+        }
         m_stream->flush();
     }
 
@@ -146,30 +172,96 @@
         if (m_stream) {
             m_stream->done();
             m_stream.reset();
-            m_request.reset();
+            finish();
         }
     }
 
 private:
+    void finish()
+    {
+        const auto id = m_request->connection_id();
+        m_request.reset();
+        m_connections->finish(id, m_isClosing);
+    }
+
     restinio::request_handle_t m_request;
+    std::shared_ptr<ConnectionTable> m_connections;
+    bool m_isClosing;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_stream;
 };
 
-HttpRequest toRequest(const restinio::request_handle_t &handle)
+/** Blanks after a value are no part of it; the parser leaves them, and HTTP/2 rejects values that end in them. */
+std::string_view withoutTrailingBlanks(std::string_view value)
+{
+    return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
+bool isUpgrade(const restinio::request_handle_t &handle)
 {
+    return handle->header().connection() == restinio::http_connection_header_t::upgrade
+           || handle->header().method() == restinio::http_method_connect();
+}
+
+HttpRequest toRequest(const restinio::request_handle_t &handle, const HttpServerConfig &config)
+{
+    constexpr std::size_t lineOverhead = 4; // Colon, blank and line end.
     HttpRequest request;
     request.connection = handle->connection_id();
     request.method = handle->header().method().c_str();
     request.path = handle->header().path();
     request.query = handle->header().query();
     request.body = handle->body();
-    handle->header().for_each_field([&request](const restinio::http_header_field_t &field) {
-        request.headers.emplace_back(field.name(), field.value());
+    auto headBytes = request.method.size() + handle->header().request_target().size() + lineOverhead;
+    handle->header().for_each_field([&](const restinio::http_header_field_t &field) {
+        request.headers.emplace_back(field.name(), withoutTrailingBlanks(field.value()));
+        headBytes += field.name().size() + field.value().size() + lineOverhead;
     });
+    request.isHeadTooLarge = headBytes > config.maxHeaderBytes || request.headers.size() > config.maxHeaderCount;
     request.owner = handle;
     return request;
 }
 
+void ConnectionTable::take(restinio::request_handle_t handle)
+{
+    const auto it = open.find(handle->connection_id());
+    if (it == open.end() || !onRequest) {
+        return;
+    }
+    if (it->second.isBusy) {
+        it->second.waiting = std::move(handle);
+        return;
+    }
+    it->second.isBusy = true;
+    auto request = toRequest(handle, config);
+    request.isExcessConnection = it->second.isExcess;
+    // Upgrades are not offered, and what follows an upgrade request may be another protocol.
+    const bool isClosing = it->second.isExcess || isUpgrade(handle) || !handle->header().should_keep_alive();
+    onRequest(std::move(request),
+              std::make_shared<RestinioResponder>(std::move(handle), shared_from_this(), isClosing));
+}
+
+void ConnectionTable::finish(std::uint64_t id, bool isClosing)
+{
+    const auto it = open.find(id);
+    if (it == open.end()) {
+        return;
+    }
+    it->second.isBusy = isClosing; // A request behind the last answer of a connection is not run.
+    auto next = std::exchange(it->second.waiting, {});
+    if (next && !isClosing) {
+        asio::post(io, [self = shared_from_this(), handle = std::move(next)]() mutable {
+            self->take(std::move(handle));
+        });
+    }
+}
+
+/** Connections that are accepted only to answer 503 on them. */
+std::size_t connectionMargin(std::size_t maxConnections)
+{
+    constexpr std::size_t minimum = 32;
+    return std::max(minimum, maxConnections / 4);
+}
+
 /** Type-erased RESTinio server, so that plain and TLS servers share one interface. */
 struct ServerBase
 {
@@ -195,10 +287,8 @@
 };
 
 template<typename Traits>
-restinio::server_settings_t<Traits> makeSettings(const HttpServerConfig &config,
-                                                 const HttpServer::Handler &handler,
-                                                 std::shared_ptr<ConnectionTable> connections,
-                                                 std::uint16_t &port)
+restinio::server_settings_t<Traits>
+makeSettings(const HttpServerConfig &config, const std::shared_ptr<ConnectionTable> &connections, std::uint16_t &port)
 {
     constexpr auto requestTimeout = std::chrono::hours(24); // The entry enforces its own deadlines on streams.
     restinio::server_settings_t<Traits> settings;
@@ -207,8 +297,9 @@
         .read_next_http_message_timelimit(config.readTimeout)
         .write_http_response_timelimit(config.writeTimeout)
         .handle_request_timeout(requestTimeout)
-        .max_parallel_connections(config.maxConnections)
-        .connection_state_listener(std::move(connections))
+        .max_parallel_connections(config.maxConnections + connectionMargin(config.maxConnections))
+        .max_pipelined_requests(config.readsAhead ? 2U : 1U) // RESTinio reads only while a slot is free.
+        .connection_state_listener(connections)
         .socket_options_setter([](auto &options) {
             options.set_option(asio::ip::tcp::no_delay{true});
         })
@@ -216,14 +307,13 @@
             port = acceptor.local_endpoint().port();
         })
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_url_size(config.maxHeaderBytes)
-                                      .max_field_name_size(256U)
-                                      .max_field_value_size(config.maxHeaderBytes)
-                                      .max_field_count(config.maxHeaderCount)
+                                      .max_url_size(2U * config.maxHeaderBytes)
+                                      .max_field_name_size(2U * config.maxHeaderBytes)
+                                      .max_field_value_size(2U * config.maxHeaderBytes)
+                                      .max_field_count(2U * config.maxHeaderCount)
                                       .max_body_size(2U * config.maxBodyBytes))
-        .request_handler([handler](restinio::request_handle_t handle) {
-            auto request = toRequest(handle);
-            handler(std::move(request), std::make_shared<RestinioResponder>(std::move(handle)));
+        .request_handler([connections](restinio::request_handle_t handle) {
+            connections->take(std::move(handle));
             return restinio::request_accepted();
         });
     return settings;
@@ -231,6 +321,13 @@
 
 } // namespace
 
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) {
+               return std::tolower(x) == std::tolower(y);
+           });
+}
+
 std::string_view HttpRequest::header(std::string_view name) const
 {
     for (const auto &[key, value] : headers) {
@@ -243,7 +340,7 @@
 
 struct HttpServer::Impl
 {
-    std::shared_ptr<ConnectionTable> connections = std::make_shared<ConnectionTable>();
+    std::shared_ptr<ConnectionTable> connections;
     std::uint16_t port = 0;
     std::unique_ptr<ServerBase> server;
 };
@@ -254,14 +351,16 @@
                        CloseHandler onClose)
     : m_impl(std::make_unique<Impl>())
 {
+    m_impl->connections = std::make_shared<ConnectionTable>(io, config);
+    m_impl->connections->onRequest = handler;
     m_impl->connections->onClose = std::move(onClose);
     if (config.tls) {
-        auto settings = makeSettings<TlsTraits>(config, handler, m_impl->connections, m_impl->port);
+        auto settings = makeSettings<TlsTraits>(config, m_impl->connections, m_impl->port);
         settings.tls_context(config.tls);
         m_impl->server = std::make_unique<ServerHolder<TlsTraits>>(io, std::move(settings));
     } else {
         m_impl->server = std::make_unique<ServerHolder<PlainTraits>>(
-            io, makeSettings<PlainTraits>(config, handler, m_impl->connections, m_impl->port));
+            io, makeSettings<PlainTraits>(config, m_impl->connections, m_impl->port));
     }
 }
 
@@ -269,6 +368,12 @@
 {
     // Connections outlive the server object, so they must not call into the owner any more.
     m_impl->connections->onClose = {};
+    m_impl->connections->onRequest = {};
+    // A waiting request owns its connection, which owns the table.
+    std::vector<restinio::request_handle_t> waiting;
+    for (auto &[id, connection] : m_impl->connections->open) {
+        waiting.push_back(std::move(connection.waiting));
+    }
 }
 
 std::uint16_t HttpServer::port() const
--- /dev/null
+++ b/tests/caller_stand.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "child_process.h"
+#include "document.h"
+#include "fake_config.h"
+#include "fake_engine.h"
+#include "fake_service.h"
+#include "raw_caller.h"
+
+#include <unistd.h>
+
+/** One real entry with an agent each for a fake engine and a fake plain service; more flags go to the entry. */
+class CallerStand
+{
+public:
+    static constexpr const char *peerKey = "k:00112233445566778899aabbccddeeff";
+
+    asio::io_context io;
+    turmericline::fakes::FakeConfig config{io};
+    turmericline::fakes::FakeEngine engine{io, engineConfig()};
+    turmericline::fakes::FakeService service{io, {}};
+    ChildProcess modelAgent{io, "turmericline-agent", agentArguments(serverName("m"), engine.url())};
+    ChildProcess serviceAgent{io, "turmericline-agent", agentArguments(serverName("s"), service.url())};
+    ChildProcess entry;
+
+    explicit CallerStand(std::vector<std::string> flags, bool isTls = false)
+        : entry(io, "turmericline-entry", entryArguments(std::move(flags)))
+    {
+        const auto text = document().dump();
+        for (const auto &it : turmericline::parseDocument(text).faults) {
+            throw std::runtime_error(it.path + ": " + it.message);
+        }
+        config.publish(1, text);
+        while (ask(entry.port("ops_port"), "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").status != 200) {
+        }
+        if (isTls) {
+            return;
+        }
+        // The agents get the document by themselves and refuse calls until then.
+        for (const auto &it : {completion(false, 1), request("POST /services/confirm/ready")}) {
+            while (ask(it).status != 200) {
+            }
+        }
+    }
+
+    RawAnswer ask(const std::string &port, const std::string &bytes)
+    {
+        RawCaller caller(io, port);
+        caller.send(bytes);
+        return caller.answer();
+    }
+
+    /** Sends the bytes to the entry on a connection of their own. */
+    RawAnswer ask(const std::string &bytes)
+    {
+        return ask(entry.port(), bytes);
+    }
+
+    static std::string request(const std::string &line, const std::string &headers = {}, const std::string &body = {})
+    {
+        return line + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer lab-key\r\n" + headers
+               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string models()
+    {
+        return request("GET /v1/models");
+    }
+
+    static std::string completion(bool isStream, std::uint32_t tokens, const std::string &headers = {})
+    {
+        const nlohmann::json body{
+            {"model", "assistant"}, {"prompt", "sweep"}, {"stream", isStream}, {"max_tokens", tokens}};
+        return request("POST /v1/completions", headers, body.dump());
+    }
+
+private:
+    /** A machine runs one agent for a server name, and other tests run at the same time. */
+    static std::string serverName(const char *prefix)
+    {
+        return prefix + std::to_string(::getpid());
+    }
+
+    static turmericline::fakes::FakeEngineConfig engineConfig()
+    {
+        turmericline::fakes::FakeEngineConfig config;
+        config.batch.stepBase = std::chrono::microseconds(20);
+        config.batch.stepPerRequest = std::chrono::microseconds(0);
+        return config;
+    }
+
+    std::vector<std::string> agentArguments(const std::string &server, const std::string &backend) const
+    {
+        // The default would end the stalled requests of some tests.
+        return {"--server",
+                server,
+                "--domain",
+                "d1",
+                "--peer-key",
+                peerKey,
+                "--backend-url",
+                backend,
+                "--config-url",
+                config.url(),
+                "--backend-silence-ms",
+                "600000"};
+    }
+
+    std::vector<std::string> entryArguments(std::vector<std::string> flags) const
+    {
+        for (const auto &it :
+             {"--name", "e1", "--domain", "d1", "--peer-key", peerKey, "--log-level", "error", "--config-url"}) {
+            flags.emplace_back(it);
+        }
+        flags.push_back(config.url());
+        return flags;
+    }
+
+    nlohmann::json server(const std::string &name, const char *ofService, ChildProcess &agent) const
+    {
+        return {{"name", name},
+                {"service", ofService},
+                {"domain", "d1"},
+                {"agent", "127.0.0.1:" + agent.port()},
+                {"state", "active"},
+                {"slots", 16}};
+    }
+
+    nlohmann::json document()
+    {
+        using nlohmann::json;
+        const auto plan = [](const char *name, const json &services) {
+            return json{{"name", name}, {"requests_per_s", 10'000}, {"tokens_per_s", 1e9}, {"services", services}};
+        };
+        return {{"version", 1},
+                {"services",
+                 {{{"name", "assistant"}, {"kind", "model"}, {"model", "assistant"}, {"idempotent", true}},
+                  {{"name", "confirm"}, {"kind", "plain"}, {"key_owners", {serverName("s")}}}}},
+                {"backend_servers",
+                 {server(serverName("m"), "assistant", modelAgent), server(serverName("s"), "confirm", serviceAgent)}},
+                {"plans", {plan("all", json{"assistant", "confirm"}), plan("none", json::array())}},
+                {"workspaces",
+                 {{{"name", "lab"}, {"keys", {turmericline::keyDigest("lab-key")}}, {"plan", "all"}},
+                  {{"name", "other"}, {"keys", {turmericline::keyDigest("other-key")}}, {"plan", "none"}}}}};
+    }
+};
