Report unusable TLS files of the entry as setting faults

Cause: the certificate and the key were first read while the entry was being constructed, so a missing, broken, mismatched or encrypted file became an exception after the settings had been called valid, and an encrypted key asked the terminal for its passphrase. The files are now read by one function, with the other checks (exit code 2, all faults together).

Ruled out: a check of file existence only, which misses mismatched keys.

--- /dev/null
+++ b/src/caller_tls.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "settings_type.h"
+
+#include <asio/ssl/context.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+/** TLS towards callers, or the setting faults that prevent it. */
+struct CallerTls
+{
+    std::shared_ptr<asio::ssl::context> context; ///< Empty if there are faults.
+    std::vector<SettingFault> faults;
+};
+
+/** Reads the certificate chain and the private key from PEM files and checks that they belong together. */
+CallerTls makeCallerTls(const std::string &certificateFile, const std::string &keyFile);
+
+} // namespace turmericline
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "caller_tls.h"
 #include "log.h"
 
 #include <nlohmann/json.hpp>
@@ -31,9 +32,7 @@
     config.readTimeout = settings.readTimeout;
     config.readsAhead = true;
     if (!settings.tlsCertificate.empty()) {
-        config.tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
-        config.tls->use_certificate_chain_file(settings.tlsCertificate);
-        config.tls->use_private_key_file(settings.tlsKey, asio::ssl::context::pem);
+        config.tls = makeCallerTls(settings.tlsCertificate, settings.tlsKey).context;
     }
     return config;
 }
--- a/src/entry_main.cpp
+++ b/src/entry_main.cpp
@@ -1,3 +1,4 @@
+#include "caller_tls.h"
 #include "daemon.h"
 #include "entry.h"
 
@@ -11,6 +12,10 @@
     if (s.tlsCertificate.empty() != s.tlsKey.empty()) {
         parse.faults.push_back({"tls-key", s.tlsKey, "tls-certificate and tls-key together, or neither"});
     }
+    if (!s.tlsCertificate.empty() && !s.tlsKey.empty()) {
+        const auto faults = makeCallerTls(s.tlsCertificate, s.tlsKey).faults;
+        parse.faults.insert(parse.faults.end(), faults.begin(), faults.end());
+    }
     if (s.peerKeys.size() > 2) {
         parse.faults.push_back({"peer-key", "", "at most two keys"});
     }
