Refuse dot segments in service paths, found by a fuzz test

Cause: a path such as /services/confirm/status/../abort matches the row "/status/*" of the document's calls and so counts as idempotent and repeatable, but libcurl in the agent resolves the segment and runs /abort. Segments "." and "..", also percent-encoded, now get 400. Ruled out: resolving them in the entry, because backend servers differ in how they decode a path.

--- a/src/caller_request.cpp
+++ b/src/caller_request.cpp
@@ -160,6 +160,23 @@
     return std::nullopt;
 }
 
+/**
+ * Says whether a path holds "." or ".." as a segment, also percent-encoded. HTTP clients and backend servers resolve
+ * them, so a call could match one row of the document's calls and run as another.
+ */
+bool holdsDotSegment(std::string_view path)
+{
+    std::string plain(path);
+    for (std::size_t at = 0; (at = plain.find("%2", at)) != std::string::npos; ++at) {
+        const char digit = at + 2 < plain.size() ? plain[at + 2] : '\0';
+        if (digit == 'e' || digit == 'E' || digit == 'f' || digit == 'F') {
+            plain.replace(at, 3, digit == 'e' || digit == 'E' ? "." : "/");
+        }
+    }
+    plain = "/" + plain + "/";
+    return plain.find("/./") != std::string::npos || plain.find("/../") != std::string::npos;
+}
+
 std::optional<Refusal> readServicePath(const Document &document, const Plan &plan, CallerRequest &call)
 {
     const auto rest = std::string_view(call.path).substr(servicesPrefix.size());
@@ -173,6 +190,9 @@
         return Refusal{
             403, "forbidden", "this workspace may not use the service \"" + name + "\"", Verdict::NotRun, {}};
     }
+    if (holdsDotSegment(rest)) {
+        return invalid("the path must not hold the segments \".\" or \"..\"");
+    }
     call.service = name;
     call.kind = ServiceKind::Plain;
     const auto inner = rest.substr(slash);
