--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "caller_tls.h"
 #include "log.h"
 
 #include <nlohmann/json.hpp>
@@ -37,10 +38,9 @@
     config.maxBodyBytes = settings.maxBodyBytes;
     config.maxConnections = settings.maxConnections;
     config.readTimeout = settings.readTimeout;
+    config.readsAhead = true;
     if (!settings.tlsCertificate.empty()) {
-        config.tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
-        config.tls->use_certificate_chain_file(settings.tlsCertificate);
-        config.tls->use_private_key_file(settings.tlsKey, asio::ssl::context::pem);
+        config.tls = makeCallerTls(settings.tlsCertificate, settings.tlsKey).context;
     }
     return config;
 }
@@ -172,6 +172,10 @@
 
 void Entry::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
+    if (const auto refusal = checkLimits(m_settings, request)) {
+        sendRefusal(*responder, *refusal);
+        return;
+    }
     if (m_document->version == 0) {
         sendRefusal(*responder,
                     {503,
@@ -234,6 +238,10 @@
         sendRefusal(responder, *refusal);
         return;
     }
+    if (request.method != "GET") {
+        sendRefusal(responder, wrongMethod("GET"));
+        return;
+    }
     auto data = nlohmann::json::array();
     const auto &plan = m_document->plans[m_document->workspaces[std::get<Id<Workspace>>(workspace)].plan];
     for (const auto id : plan.services) {
