Answer 422 when the agent refuses a suspected request

In a repetition the log of entry-3 shows an agent still refusing the request just after the hold time, when the entry no longer did: their estimates of the crash differ by some milliseconds. When all three attempts hit this, the caller got 503 after pointless attempts. That this is what the failing run saw is likely but was not seen in its own log, which was not kept. A failed restart of the engines was not ruled out by a log either. The agent now refuses with 422, and the entry passes that on at once with the agent's Retry-After. The test is not relaxed; only two lint findings were fixed in it.

--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -465,7 +465,12 @@
         }
         call->stream->end(std::move(trailers));
     } else if (call->stream) {
-        refuse(*call->stream, 503, verdict, reason, call->retryAfter, m_suspects.header(call->fingerprint));
+        refuse(*call->stream,
+               call->refusalStatus,
+               verdict,
+               reason,
+               call->retryAfter,
+               m_suspects.header(call->fingerprint));
     }
     answerWaiters(call, verdict, reason);
     dispatch();
--- a/src/agent_call.h
+++ b/src/agent_call.h
@@ -38,6 +38,7 @@
     std::vector<std::shared_ptr<H2ServerStream>> waiters; ///< Later copies that wait for the answer.
 
     std::chrono::milliseconds retryAfter{0}; ///< For a refused call.
+    int refusalStatus = 503;
     bool isHeld = false; ///< Has a slot, but must not start yet; see AgentIsolation.
     bool isRunning = false;
     std::uint64_t backendRun = 0; ///< Run of the backend server that it was sent to.
--- a/src/agent_isolation.cpp
+++ b/src/agent_isolation.cpp
@@ -58,6 +58,7 @@
     const auto decision = m_suspects.decide(call->fingerprint);
     if (decision.action == SuspectAction::Refuse) {
         call->retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter);
+        call->refusalStatus = 422;
         m_handlers.refuse(call, "the request is suspected of crashing backend servers");
         return true;
     }
--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -286,15 +286,15 @@
               {"server", m_tried.empty() ? "" : m_tried.back()},
               {"verdict", verdictName(verdict)},
               {"reason", reason}});
-    if (mayRetry(verdict)) {
-        attempt();
-        return;
-    }
     const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
-    if (isRefusedSuspect()) {
+    if (isSuspectRefusal(verdict)) {
         giveUpSuspect(overall);
         return;
     }
+    if (mayRetry(verdict)) {
+        attempt();
+        return;
+    }
     giveUp({503, "unavailable", reason, overall, m_retryAfter.value_or(defaultRetryAfter)});
 }
 
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -65,6 +65,8 @@
     // Requests suspected of crashing servers; see SuspectTable.
     std::shared_ptr<AgentPeer> isolationPeer(const std::vector<std::shared_ptr<AgentPeer>> &found) const;
     bool isRefusedSuspect() const;
+    /** The last attempt was refused for this reason, by the agent or now by this entry. */
+    bool isSuspectRefusal(Verdict verdict) const;
     void giveUpSuspect(Verdict verdict);
     KeyedStep refuseKeyedSuspect();
 
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -50,7 +50,7 @@
         return;
     }
     case KeyedAction::Finish:
-        if (isRefusedSuspect()) {
+        if (isSuspectRefusal(step.verdict)) {
             giveUpSuspect(step.verdict);
             return;
         }
--- a/src/entry_suspect.cpp
+++ b/src/entry_suspect.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view refusalReason = "the request is suspected of crashing backend servers";
+constexpr std::chrono::milliseconds retryAfterLeast{1'000};
 
 } // namespace
 
@@ -21,6 +22,7 @@
     });
     const auto &choices = live.empty() ? found : live;
     std::vector<std::string_view> names;
+    names.reserve(choices.size());
     for (const auto &it : choices) {
         names.push_back(it->name);
     }
@@ -34,10 +36,17 @@
     return m_context.suspects.decide(m_request.fingerprint).action == SuspectAction::Refuse;
 }
 
+bool EntryCall::isSuspectRefusal(Verdict verdict) const
+{
+    // At the end of the hold time an agent's estimate of the crash may be some milliseconds later than this entry's.
+    return isRefusedSuspect() || (verdict == Verdict::NotRun && m_status == 422);
+}
+
 void EntryCall::giveUpSuspect(Verdict verdict)
 {
     const auto decision = m_context.suspects.decide(m_request.fingerprint);
-    const auto after = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
+    const auto after = std::max(std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter),
+                                m_retryAfter.value_or(retryAfterLeast));
     giveUp({422, "suspected_of_crashing", std::string(refusalReason), verdict, after});
 }
 
--- a/tests/process_suspects_test.cpp
+++ b/tests/process_suspects_test.cpp
@@ -60,6 +60,7 @@
         for (const auto &entry : Fleet::entries()) {
             m_fleet->waitUntil([&] {
                 std::vector<Fleet::Answer> calls;
+                calls.reserve(12);
                 for (int i = 0; i < 12; ++i) {
                     calls.push_back(m_fleet->stream(entry, "warm up", 2));
                 }
@@ -241,7 +242,7 @@
 
     Fleet::Answer sendKeyed(const std::string &key)
     {
-        const auto answer = m_fleet->callEntry(
+        auto answer = m_fleet->callEntry(
             "entry-1", "/services/controller/work", {{"text", poison}}, {{"Idempotency-Key", key}});
         m_fleet->waitDone({answer});
         return answer;
