--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -369,6 +369,11 @@
               {"server", m_tried.empty() ? "" : m_tried.back()},
               {"verdict", verdictName(verdict)},
               {"reason", reason}});
+    const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
+    if (isSuspectRefusal(verdict)) {
+        giveUpSuspect(overall);
+        return;
+    }
     AttemptResult result;
     result.verdict = verdict;
     result.isIdempotent = m_request.isIdempotent;
@@ -381,11 +386,6 @@
         retryAfterDelay(decision.delay);
         return;
     }
-    const auto overall = m_everSent ? Verdict::MayHaveRun : verdict;
-    if (isRefusedSuspect()) {
-        giveUpSuspect(overall);
-        return;
-    }
     giveUp({503, "unavailable", reason, overall, retryAfter()});
 }
 
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -48,7 +48,7 @@
         return;
     }
     case KeyedAction::Finish:
-        if (isRefusedSuspect()) {
+        if (isSuspectRefusal(step.verdict)) {
             giveUpSuspect(step.verdict);
             return;
         }
