--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -257,6 +257,7 @@
 {
     const auto pid = m_processes.at(name).pid;
     require(pid != 0 && ::kill(pid, number) == 0, "cannot signal " + name);
+    m_faults += number == SIGCONT ? 0 : 1;
 }
 
 void Fleet::kill(const std::string &name)
@@ -265,6 +266,7 @@
     if (process.pid != 0) {
         ::kill(process.pid, SIGKILL);
         reap(process, 0);
+        ++m_faults;
     }
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -76,6 +76,11 @@
     const Arguments &command(const std::string &name) const;
     std::string log(const std::string &name) const;
     std::uint16_t port(const std::string &name, const std::string &field = "port") const;
+    /** Processes killed, stopped or told to end by the test. */
+    std::size_t faultCount() const
+    {
+        return m_faults;
+    }
     const std::string &peerKey() const
     {
         return m_peerKey;
@@ -135,6 +140,7 @@
 
     std::string m_directory; ///< Of the logs.
     std::string m_peerKey;
+    mutable std::size_t m_faults = 0;
     std::map<std::string, Process> m_processes;
     nlohmann::json m_document;
     asio::io_context m_io;
--- a/tests/holds_configuration_test.cpp
+++ b/tests/holds_configuration_test.cpp
@@ -1,8 +1,11 @@
 #include "config_world.h"
 #include "fuzz_property.h"
 
+#include <fmt/format.h>
 #include <rapidcheck/state.h>
 
+#include <iostream>
+
 using namespace turmericline;
 
 namespace {
@@ -39,6 +42,15 @@
     {Operation::Spoil, "spoil"},
 }};
 
+struct Tally
+{
+    std::size_t operations = 0;
+    std::size_t restarts = 0;
+    std::size_t networkFaults = 0;
+};
+
+Tally tally;
+
 /** The oracle keeps no model of its own: what it checks is a property of the world. */
 struct NoModel
 {
@@ -66,6 +78,12 @@
 
     void run(const NoModel & /*model*/, ConfigWorld<Checks> &world) const override
     {
+        ++tally.operations;
+        tally.restarts += m_operation == Operation::Restart ? 1 : 0;
+        tally.networkFaults
+            += m_operation == Operation::Cut || m_operation == Operation::OneWayCut || m_operation == Operation::Spoil
+                   ? 1
+                   : 0;
         switch (m_operation) {
         case Operation::Round:
             world.round();
@@ -181,7 +199,12 @@
 public:
     void neverGoesBackAndConverges()
     {
+        tally = {};
         expectProperty("configuration", fuzzParams(100, 500), checkWorld);
+        std::cout << fmt::format("\nfigures: point=I7 operations={} faults={} network_faults={}\n",
+                                 tally.operations,
+                                 tally.restarts,
+                                 tally.networkFaults);
     }
 
     void needsTheOrderOfVersions()
--- a/tests/holds_leaving_test.cpp
+++ b/tests/holds_leaving_test.cpp
@@ -123,6 +123,14 @@
                                  ms(knownAt),
                                  known,
                                  m_calls.size() - known);
+        std::size_t late = 0;
+        for (auto i = known; i < m_calls.size(); ++i) {
+            late += counts.contains(fmt::format("load-{}", i)) ? 1 : 0;
+        }
+        std::cout << fmt::format("figures: point=I5 operations={} faults={} late={}\n",
+                                 m_calls.size() + m_streams.size(),
+                                 m_fleet->faultCount(),
+                                 late);
         for (auto i = known; i < m_calls.size(); ++i) {
             const auto name = fmt::format("load-{}", i);
             CPPUNIT_ASSERT_MESSAGE(name + " reached the leaving server", !counts.contains(name));
--- a/tests/holds_shutdown_test.cpp
+++ b/tests/holds_shutdown_test.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <iostream>
 
 using nlohmann::json;
 
@@ -47,6 +48,10 @@
 
     void tearDown() override
     {
+        if (m_fleet) {
+            std::cout << fmt::format(
+                "\nfigures: point=I6 operations={} faults={}\n", m_streams.size(), m_fleet->faultCount());
+        }
         m_fleet.reset();
     }
 
--- a/tests/holds_whole_answer_test.cpp
+++ b/tests/holds_whole_answer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
 
 using nlohmann::json;
 
@@ -47,6 +48,10 @@
 
     void tearDown() override
     {
+        if (m_fleet) {
+            std::cout << fmt::format(
+                "\nfigures: point=I2 operations={} faults={}\n", m_streams.size(), m_fleet->faultCount());
+        }
         m_fleet.reset();
     }
 
--- a/tests/keyed_property.h
+++ b/tests/keyed_property.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <iostream>
+#include <set>
 
 namespace turmericline {
 
@@ -78,6 +79,11 @@
 
     void run(const int & /*state*/, KeyedWorld &world) const override
     {
+        ++world.operations;
+        world.processFaults
+            += op == KeyedOp::Restart || op == KeyedOp::SecondAgent || op == KeyedOp::Freeze || op == KeyedOp::MoveSlot
+                   ? 1
+                   : 0;
         perform(world);
     }
 
@@ -181,6 +187,13 @@
 {
     std::size_t calls = 0;
     std::size_t runs = 0;
+    std::size_t operations = 0;
+    std::size_t processFaults = 0;
+    std::size_t keys = 0; ///< Calls without their copies.
+    std::size_t once = 0;
+    std::size_t twice = 0;
+    std::size_t lost = 0; ///< Told "run", but not run.
+    std::size_t notRunThatRan = 0;
     std::map<Verdict, std::size_t> verdicts;
 };
 
@@ -188,7 +201,24 @@
 {
     for (const auto &it : world.records) {
         tally.runs += static_cast<std::size_t>(it.second.runs);
+        tally.once += it.second.runs == 1 ? 1 : 0;
+        tally.twice += it.second.runs > 1 ? 1 : 0;
+        tally.notRunThatRan += it.second.wasToldNotRun && it.second.runs > 0 ? 1 : 0;
     }
+    std::set<std::pair<std::string, std::string>> lost;
+    std::set<std::pair<std::string, std::string>> keys;
+    for (const auto &it : world.calls) {
+        const auto key = std::pair(it.workspace, it.key);
+        const auto record = world.records.find(key);
+        keys.insert(key);
+        if (it.verdict == Verdict::Run && (record == world.records.end() || record->second.runs == 0)) {
+            lost.insert(key);
+        }
+    }
+    tally.keys += keys.size();
+    tally.lost += lost.size();
+    tally.operations += world.operations;
+    tally.processFaults += world.processFaults;
     tally.calls += world.calls.size();
     for (const auto &it : world.calls) {
         if (it.verdict) {
@@ -220,7 +250,10 @@
         std::cout << ", " << tally.verdicts[it.value] << ' ' << it.name;
         CPPUNIT_ASSERT(tally.verdicts[it.value] > 0);
     }
-    std::cout << '\n';
+    std::cout << "\nfigures: point=" << (invariant == KeyedInvariant::AtMostOnce ? "I4" : "I3")
+              << " operations=" << tally.operations << " faults=" << tally.processFaults << " sent=" << tally.keys
+              << " once=" << tally.once << " twice=" << tally.twice << " lost=" << tally.lost
+              << " not_run_that_ran=" << tally.notRunThatRan << '\n';
 }
 
 /** Checks that the search finds a violation, such as @p what, when the policy lacks a mechanism. */
--- a/tests/keyed_world.h
+++ b/tests/keyed_world.h
@@ -61,6 +61,8 @@
 
     std::map<KeyedInvariant, std::string> violations;
     std::vector<Call> calls;
+    std::size_t operations = 0; ///< Commands that were run on this world.
+    std::size_t processFaults = 0; ///< Restarts, freezes, second agents and moved slots among them.
     std::map<std::pair<std::string, std::string>, Record> records;
 
     explicit KeyedWorld(KeyedPolicy policy);
