--- a/tests/process_second_agent_test.cpp
+++ b/tests/process_second_agent_test.cpp
@@ -114,6 +114,16 @@
         return answer->header("X-Verdict");
     }
 
+    /** Tickets are spread over the servers, so one of a certain server may need several attempts. */
+    std::string ticketOf(const std::string &domain)
+    {
+        auto text = ticket();
+        for (int i = 0; i < 100 && text.substr(text.find(".s") + 2, 1) != domain; ++i) {
+            text = ticket();
+        }
+        return text;
+    }
+
     void wrongKeyCanGiveNoOrder()
     {
         const auto first = ticket();
@@ -129,10 +139,10 @@
         // Not sealed either: the ticket still runs.
         CPPUNIT_ASSERT_EQUAL(std::string("run"), call(first));
         // The same requests with the right key are carried out, so the refusal was due to the key.
-        const auto second = ticket();
+        const auto second = ticketOf(domain);
         CPPUNIT_ASSERT(isAnswered(right, agent, sealRequest(second)));
         CPPUNIT_ASSERT_EQUAL(std::string("not-run"), call(second));
-        const auto third = ticket();
+        const auto third = ticketOf(domain);
         CPPUNIT_ASSERT(isAnswered(right, agent, runRequest(third)));
         CPPUNIT_ASSERT(m_fleet->getJson("service-" + domain, "/counts").contains(third));
     }
