--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -324,8 +324,9 @@
     void twoDocumentsHaveOneVersion()
     {
         const auto *bin = std::getenv("TEST_BIN_DIR");
-        CPPUNIT_ASSERT(bin != nullptr);
-        CPPUNIT_ASSERT(m_fleet->tryStart("config-b", {std::string(bin) + "/turmericline-fake", "config"}));
+        const std::string programs = bin != nullptr ? bin : "";
+        CPPUNIT_ASSERT(!programs.empty());
+        CPPUNIT_ASSERT(m_fleet->tryStart("config-b", {programs + "/turmericline-fake", "config"}));
         json document;
         const auto version = publish([&document](json &it) {
             document = it;
