Balance experts by agents beside the ranks

Ruled out: processor time of the gateways (0.3 % of a core) and uneven choice of servers (busiest to mean 1.07).

An expert agent runs beside each rank. The one beside rank 0 collects the counts, looks for a map that relieves the most loaded rank with at most two new copies a rank and layer, and switches to it under a hold (map_switch.h).

--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -27,6 +27,8 @@
     std::uint32_t slots = 1;
     bool isLeaving = false; ///< Takes no new requests.
     bool isGroupBroken = false; ///< Its group of ranks serves nothing at present.
+    std::string group; ///< Of ranks that advance in lock-step; empty for none.
+    std::uint32_t rank = 0;
     std::int64_t bornMs = 0; ///< Unix time of its start; a new value is a new incarnation under the same id.
 
     bool operator==(const BackendRecord &) const = default;
--- /dev/null
+++ b/src/expert_agent.cpp
@@ -0,0 +1,365 @@
+#include "expert_agent.h"
+
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace turmericline {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod{50};
+/** Servers and the layout of experts change rarely, and each call to the store has its price. */
+constexpr std::chrono::milliseconds watchWait{25'000};
+constexpr std::chrono::milliseconds ownCheckPeriod{1'000};
+/** A rank answers on its own machine within milliseconds, or not at all. */
+constexpr std::chrono::milliseconds rankTimeout{300};
+/** Of a call to another agent, which calls its rank up to three times. */
+constexpr std::chrono::milliseconds peerTimeout{700};
+constexpr std::size_t maxPeerBytes = 1U << 20U;
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+const std::string newsTarget = "/rank";
+const std::string newsWithHeldTarget = "/rank?held";
+const std::string orderTarget = "/rank/order";
+const std::string packedType = "application/msgpack";
+
+StoreFeedConfig feedConfig(std::string prefix)
+{
+    StoreFeedConfig config;
+    config.prefix = std::move(prefix);
+    config.watchWait = watchWait;
+    return config;
+}
+
+HttpServerConfig peerServerConfig(const asio::ip::tcp::endpoint &endpoint)
+{
+    HttpServerConfig config;
+    config.address = endpoint.address().to_string();
+    config.port = endpoint.port();
+    config.maxBodyBytes = maxPeerBytes;
+    config.maxConnections = 64;
+    config.readTimeout = 30s;
+    return config;
+}
+
+std::string_view ipOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+ExpertAgent::ExpertAgent(asio::io_context &io,
+                         const ExpertAgentSettings &settings,
+                         GatewayDialect dialect,
+                         RankDialect ranks)
+    : m_io(io)
+    , m_settings(settings)
+    , m_dialect(std::move(dialect))
+    , m_rankDialect(std::move(ranks))
+    , m_ip(ipOf(settings.peer))
+    , m_peerPort(parseEndpoint(settings.peer)->port())
+    , m_random(std::random_device()())
+    , m_servers(settings.domain)
+    , m_registry(m_dialect, m_servers)
+    , m_configReader(
+          io,
+          m_dialect,
+          feedConfig(m_dialect.configKey),
+          settings.store,
+          [this](TimePoint, const StoreChange &change, std::chrono::milliseconds) {
+              onConfig(change);
+          },
+          m_random)
+    , m_serverReader(
+          io,
+          m_dialect,
+          feedConfig(m_dialect.serverPrefix),
+          settings.store,
+          [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
+              m_registry.apply(now, change, outage);
+          },
+          m_random)
+    , m_caller(io)
+    , m_peerServer(io,
+                   peerServerConfig(*parseEndpoint(settings.peer)),
+                   [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                       onPeerRequest(request, responder);
+                   })
+    , m_timer(io)
+    , m_signals(io, SIGTERM, SIGINT)
+{
+    logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"peer", settings.peer}});
+    m_signals.async_wait([this](const asio::error_code &ec, int) {
+        if (!ec) {
+            logEvent(LogLevel::Info, "stopped");
+            m_io.stop();
+        }
+    });
+    tick();
+}
+
+std::uint16_t ExpertAgent::port() const
+{
+    return m_peerServer.port();
+}
+
+void ExpertAgent::tick()
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_configReader.tick(now);
+    m_serverReader.tick(now);
+    m_registry.tick(now);
+    m_caller.tick(now);
+    coordinate(now);
+    m_timer.expires_after(tickPeriod);
+    m_timer.async_wait([this](const asio::error_code &ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void ExpertAgent::onConfig(const StoreChange &change)
+{
+    for (const auto &it : change.items) {
+        if (it.key != m_dialect.configKey || it.isDeleted) {
+            continue;
+        }
+        auto config = m_dialect.readConfig(it.value);
+        if (!config) {
+            logEvent(LogLevel::Error, "configuration rejected, the one in force stays", {{"reason", config.reason}});
+            continue;
+        }
+        m_table = std::make_unique<RoutingTable>(std::move(*config.value));
+    }
+}
+
+const BackendRecord *ExpertAgent::ownServer() const
+{
+    for (const auto &id : m_servers.ids()) {
+        const auto &record = m_servers.find(id)->record;
+        if (!record.group.empty() && ipOf(record.address) == m_ip) {
+            return &record;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<std::string> ExpertAgent::agentOf(std::uint32_t rank) const
+{
+    const auto *own = ownServer();
+    for (const auto &id : m_servers.ids()) {
+        const auto &record = m_servers.find(id)->record;
+        if (own != nullptr && record.service == own->service && record.group == own->group && record.rank == rank) {
+            return std::string(ipOf(record.address)) + ":" + std::to_string(m_peerPort);
+        }
+    }
+    return std::nullopt;
+}
+
+void ExpertAgent::onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (request.method == "GET" && request.path == newsTarget) {
+        replyNews(!request.query.empty(), responder);
+    } else if (request.method == "POST" && request.path == orderTarget) {
+        const auto order = decodeRankOrder(request.body);
+        if (!order) {
+            logEvent(LogLevel::Warning, "order of another agent rejected", {{"reason", order.reason}});
+            responder->reply(400, {}, order.reason + "\n");
+            return;
+        }
+        passOrder(*order.value, responder);
+    } else {
+        responder->reply(404, {}, "not found\n");
+    }
+}
+
+void ExpertAgent::replyNews(bool withHeld, const std::shared_ptr<HttpResponder> &responder)
+{
+    readNews(withHeld, [responder](const Result<RankNews> &news) {
+        if (news) {
+            responder->reply(statusOk, {{"Content-Type", packedType}}, encodeRankNews(*news.value));
+        } else {
+            responder->reply(statusUnavailable, {}, news.reason + "\n");
+        }
+    });
+}
+
+void ExpertAgent::readNews(bool withHeld, std::function<void(Result<RankNews>)> handler)
+{
+    const auto *server = ownServer();
+    if (server == nullptr) {
+        handler(Result<RankNews>::fail("no backend server is known on this machine"));
+        return;
+    }
+    m_caller.get(std::chrono::steady_clock::now(),
+                 server->address,
+                 m_rankDialect.stateTarget,
+                 rankTimeout,
+                 [this, withHeld, handler = std::move(handler)](const std::optional<HttpReply> &reply,
+                                                                const std::string &reason) {
+                     auto state = reply && reply->status == statusOk ? m_rankDialect.readState(reply->body)
+                                                                     : Result<RankState>::fail(reason);
+                     if (!state) {
+                         handler(Result<RankNews>::fail(state.reason));
+                         return;
+                     }
+                     RankNews news;
+                     news.state = std::move(*state.value);
+                     readCounts(std::move(news), withHeld, handler);
+                 });
+}
+
+void ExpertAgent::readCounts(RankNews news, bool withHeld, std::function<void(Result<RankNews>)> handler)
+{
+    const auto *server = ownServer();
+    if (server == nullptr) {
+        handler(Result<RankNews>::fail("the backend server is gone"));
+        return;
+    }
+    m_caller.get(std::chrono::steady_clock::now(),
+                 server->address,
+                 m_rankDialect.countsTarget,
+                 rankTimeout,
+                 [this, withHeld, news = std::move(news), handler = std::move(handler)](
+                     const std::optional<HttpReply> &reply, const std::string &reason) mutable {
+                     auto counts = reply && reply->status == statusOk ? m_rankDialect.readCounts(reply->body)
+                                                                      : Result<RankCounts>::fail(reason);
+                     if (!counts) {
+                         handler(Result<RankNews>::fail(counts.reason));
+                         return;
+                     }
+                     news.counts = std::move(*counts.value);
+                     if (withHeld) {
+                         readHeld(std::move(news), handler);
+                     } else {
+                         handler(Result<RankNews>::ok(std::move(news)));
+                     }
+                 });
+}
+
+void ExpertAgent::readHeld(RankNews news, std::function<void(Result<RankNews>)> handler)
+{
+    const auto *server = ownServer();
+    if (server == nullptr) {
+        handler(Result<RankNews>::fail("the backend server is gone"));
+        return;
+    }
+    m_caller.get(std::chrono::steady_clock::now(),
+                 server->address,
+                 m_rankDialect.heldTarget,
+                 rankTimeout,
+                 [this, news = std::move(news), handler = std::move(handler)](const std::optional<HttpReply> &reply,
+                                                                              const std::string &reason) mutable {
+                     auto held = reply && reply->status == statusOk ? m_rankDialect.readHeld(reply->body)
+                                                                    : Result<HeldExperts>::fail(reason);
+                     if (!held) {
+                         handler(Result<RankNews>::fail(held.reason));
+                         return;
+                     }
+                     news.held = std::move(*held.value);
+                     handler(Result<RankNews>::ok(std::move(news)));
+                 });
+}
+
+void ExpertAgent::passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder)
+{
+    const auto *server = ownServer();
+    if (server == nullptr) {
+        responder->reply(statusUnavailable, {}, "no backend server is known on this machine\n");
+        return;
+    }
+    m_caller.post(std::chrono::steady_clock::now(),
+                  server->address,
+                  m_rankDialect.orderTarget,
+                  "application/json",
+                  m_rankDialect.orderBody(order),
+                  rankTimeout,
+                  [responder](const std::optional<HttpReply> &reply, const std::string &reason) {
+                      if (reply) {
+                          responder->reply(reply->status, {}, reply->body);
+                      } else {
+                          responder->reply(statusTimeout, {}, reason + "\n");
+                      }
+                  });
+}
+
+GroupLink ExpertAgent::makeLink()
+{
+    GroupLink link;
+    link.askNews = [this](std::uint32_t rank, bool withHeld, GroupLink::NewsHandler handler) {
+        // An agent that is not known gets an address that fails at once.
+        m_caller.get(std::chrono::steady_clock::now(),
+                     agentOf(rank).value_or(""),
+                     withHeld ? newsWithHeldTarget : newsTarget,
+                     peerTimeout,
+                     [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
+                         auto news = reply && reply->status == statusOk ? decodeRankNews(reply->body)
+                                                                        : Result<RankNews>::fail("");
+                         handler(std::move(news.value));
+                     });
+    };
+    link.sendOrder = [this](std::uint32_t rank, const RankOrder &order, GroupLink::OrderHandler handler) {
+        m_caller.post(std::chrono::steady_clock::now(),
+                      agentOf(rank).value_or(""),
+                      orderTarget,
+                      packedType,
+                      encodeRankOrder(order),
+                      peerTimeout,
+                      [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
+                          const bool isAnswer
+                              = reply && reply->status != statusTimeout && reply->status != statusUnavailable;
+                          const bool isAccepted
+                              = isAnswer && (reply->status == statusOk || reply->status == statusAccepted);
+                          handler(isAnswer ? std::optional(isAccepted) : std::nullopt);
+                      });
+    };
+    return link;
+}
+
+void ExpertAgent::checkOwnRank(TimePoint now)
+{
+    const auto *server = ownServer();
+    if (server == nullptr || now < m_checkOwnAt) {
+        return;
+    }
+    m_checkOwnAt = now + ownCheckPeriod;
+    m_caller.get(now,
+                 server->address,
+                 m_rankDialect.stateTarget,
+                 rankTimeout,
+                 [this](const std::optional<HttpReply> &reply, const std::string &) {
+                     auto state = reply && reply->status == statusOk ? m_rankDialect.readState(reply->body)
+                                                                     : Result<RankState>::fail("");
+                     m_ownState = std::move(state.value);
+                 });
+}
+
+void ExpertAgent::coordinate(TimePoint now)
+{
+    checkOwnRank(now);
+    const auto *server = ownServer();
+    const auto *service = server == nullptr || !m_table ? nullptr : m_table->findService(server->service);
+    const bool isCoordinator = service != nullptr && service->experts && m_ownState && m_ownState->rank == holdingRank;
+    if (!isCoordinator) {
+        // A rank that answers nothing for a moment is no reason to forget a switch under way.
+        if (m_ownState && m_ownState->rank != holdingRank) {
+            m_coordinator.reset();
+        }
+    } else if (!m_coordinator || m_coordinator->ranks() != m_ownState->size) {
+        m_coordinator = std::make_unique<GroupCoordinator>(*service->experts, m_ownState->size, makeLink(), m_random);
+    }
+    if (m_coordinator) {
+        m_coordinator->tick(now);
+    }
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/expert_agent.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "backend_registry.h"
+#include "expert_agent_settings.h"
+#include "group_coordinator.h"
+#include "http_server.h"
+#include "routing_table.h"
+#include "store_reader.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace turmericline {
+
+/**
+ * Runs beside one backend server that is a rank of a group. Passes its state and counts on to the coordinator of the
+ * group and orders back to it; beside the rank that holds the group, it is the coordinator.
+ */
+class ExpertAgent
+{
+public:
+    ExpertAgent(asio::io_context &io, const ExpertAgentSettings &settings, GatewayDialect dialect, RankDialect ranks);
+
+    std::uint16_t port() const;
+
+private:
+    void tick();
+    void onConfig(const StoreChange &change);
+    void onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void replyNews(bool withHeld, const std::shared_ptr<HttpResponder> &responder);
+    void readCounts(RankNews news, bool withHeld, std::function<void(Result<RankNews>)> handler);
+    void readHeld(RankNews news, std::function<void(Result<RankNews>)> handler);
+    void readNews(bool withHeld, std::function<void(Result<RankNews>)> handler);
+    void passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder);
+    const BackendRecord *ownServer() const;
+    std::optional<std::string> agentOf(std::uint32_t rank) const;
+    void coordinate(TimePoint now);
+    GroupLink makeLink();
+    void checkOwnRank(TimePoint now);
+
+    asio::io_context &m_io;
+    ExpertAgentSettings m_settings;
+    GatewayDialect m_dialect;
+    RankDialect m_rankDialect;
+    std::string m_ip;
+    std::uint16_t m_peerPort;
+    std::mt19937_64 m_random;
+    BackendTable m_servers;
+    BackendRegistry m_registry;
+    std::unique_ptr<RoutingTable> m_table;
+    StoreReader m_configReader;
+    StoreReader m_serverReader;
+    HttpCaller m_caller;
+    HttpServer m_peerServer;
+    std::unique_ptr<GroupCoordinator> m_coordinator;
+    std::optional<RankState> m_ownState;
+    TimePoint m_checkOwnAt{};
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/expert_balancer.cpp
@@ -0,0 +1,126 @@
+#include "expert_balancer.h"
+
+#include "placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace turmericline {
+
+namespace {
+
+/** Part of the demand that is spread evenly over the experts, against fitting the noise of rare ones. */
+constexpr double evenPart = 0.03;
+/** Bounds the time of one decision; each step relieves one rank. */
+constexpr int maxSteps = 400;
+/** The search ends after this many steps without a lower skew. */
+constexpr int patience = 6;
+
+} // namespace
+
+ExpertBalancer::ExpertBalancer(const ExpertBalancerConfig &config, const ExpertLayout &layout, std::size_t ranks)
+    : m_config(config)
+    , m_layout(layout)
+    , m_shape{ranks, layout.slots, layout.experts}
+    , m_search(m_shape)
+    , m_loads(layout.layers, ExpertLoads(layout.experts, 0.0))
+    , m_last(ranks)
+{
+}
+
+void ExpertBalancer::decay(TimePoint now)
+{
+    if (m_decayedAt != TimePoint{}) {
+        const std::chrono::duration<double> age = now - m_decayedAt;
+        const double factor = std::exp2(-age / std::chrono::duration<double>(m_config.halfLife));
+        for (auto &layer : m_loads) {
+            for (auto &it : layer) {
+                it *= factor;
+            }
+        }
+    }
+    m_decayedAt = now;
+}
+
+void ExpertBalancer::observe(TimePoint now, std::uint32_t rank, const RankCounts &counts)
+{
+    const std::size_t n = std::size_t{m_layout.layers} * m_layout.experts;
+    if (rank >= m_last.size() || counts.counts.size() != n) {
+        return;
+    }
+    decay(now);
+    auto &last = m_last[rank];
+    if (last) {
+        for (std::size_t it = 0; it < n; ++it) {
+            // A rank that has restarted counts from zero.
+            const auto before = counts.counts[it] >= last->counts[it] ? last->counts[it] : 0;
+            m_loads[it / m_layout.experts][it % m_layout.experts] += static_cast<double>(counts.counts[it] - before);
+        }
+    }
+    last = counts;
+}
+
+double ExpertBalancer::demand() const
+{
+    return std::accumulate(m_loads.begin(), m_loads.end(), 0.0, [](double sum, const ExpertLoads &layer) {
+        return std::accumulate(layer.begin(), layer.end(), sum);
+    });
+}
+
+double ExpertBalancer::skew(const LayerMaps &map) const
+{
+    double sum = 0;
+    for (std::size_t l = 0; l < map.size(); ++l) {
+        sum += skewOf(map[l], m_loads[l]);
+    }
+    return sum / static_cast<double>(map.size());
+}
+
+std::optional<MapProposal> ExpertBalancer::propose(TimePoint now, const LayerMaps &current)
+{
+    decay(now);
+    if (demand() < m_config.smallestDemand) {
+        return std::nullopt;
+    }
+    MapProposal proposal{current, skew(current), 1, 0};
+    for (std::size_t l = 0; l < current.size(); ++l) {
+        auto loads = m_loads[l];
+        const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+        const double even = evenPart * sum / static_cast<double>(loads.size());
+        for (auto &it : loads) {
+            it = (it * (1 - evenPart) + even) / sum;
+        }
+        m_search.reset(current[l], loads);
+        m_search.limitNewCopies(std::min<std::size_t>(m_config.newPerSwitch, m_layout.newPerSwitch));
+        double lowest = m_search.skew();
+        std::size_t best = 0;
+        int idle = 0;
+        for (int step = 0; step < maxSteps && idle < patience && m_search.step(); ++step) {
+            ++idle;
+            if (m_search.skew() < lowest) {
+                lowest = m_search.skew();
+                best = m_search.edits().size();
+                idle = 0;
+            }
+        }
+        MapSearch::applyTo(proposal.map[l], std::span(m_search.edits()).first(best));
+        proposal.moves += movesBetween(current[l], proposal.map[l]);
+    }
+    proposal.skewAfter = skew(proposal.map);
+    if (proposal.moves == 0 || proposal.skewAfter > proposal.skewBefore * (1 - m_config.smallestGain)) {
+        return std::nullopt;
+    }
+    return proposal;
+}
+
+LayerMaps ExpertBalancer::initialMap() const
+{
+    ExpertMap map(m_shape.ranks);
+    for (ExpertIndex e = 0; e < m_layout.experts; ++e) {
+        map[e % m_shape.ranks].push_back(e);
+    }
+    return LayerMaps(m_layout.layers, map);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/expert_balancer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "placement_search.h"
+#include "rank_type.h"
+#include "routing_type.h"
+#include "time_type.h"
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace turmericline {
+
+struct ExpertBalancerConfig
+{
+    std::chrono::milliseconds halfLife{1'000}; ///< Of a count: the demand changes within seconds.
+    double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
+    std::size_t newPerSwitch = 2; ///< Copies that a rank makes at most for one change of map, of one layer.
+    double smallestDemand = 20'000; ///< Counts without which the demand is not known well enough.
+};
+
+struct MapProposal
+{
+    LayerMaps map;
+    double skewBefore = 1;
+    double skewAfter = 1;
+    std::size_t moves = 0;
+};
+
+/**
+ * Proposes maps of experts for a group of ranks in lock-step from the counts that the ranks state.
+ *
+ * Load pattern: a few experts get most of the tokens, and every few seconds others do. A pass takes, layer by layer, as
+ * long as its most loaded rank. Each proposal changes little, so that it is in use before the demand changes again.
+ */
+class ExpertBalancer
+{
+public:
+    ExpertBalancer(const ExpertBalancerConfig &config, const ExpertLayout &layout, std::size_t ranks);
+
+    /** Takes the counts of one rank; the first ones of an epoch only set the start. */
+    void observe(TimePoint now, std::uint32_t rank, const RankCounts &counts);
+    /** A better map than @p current; nothing if none gains enough. */
+    std::optional<MapProposal> propose(TimePoint now, const LayerMaps &current);
+
+    /** Map 0 of a new epoch: the experts are dealt to the ranks in turn. */
+    LayerMaps initialMap() const;
+    double skew(const LayerMaps &map) const;
+
+private:
+    void decay(TimePoint now);
+    double demand() const;
+
+    ExpertBalancerConfig m_config;
+    ExpertLayout m_layout;
+    PlacementShape m_shape;
+    MapSearch m_search;
+    std::vector<ExpertLoads> m_loads; ///< Decayed counts by layer.
+    std::vector<std::optional<RankCounts>> m_last; ///< By rank.
+    TimePoint m_decayedAt{};
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/group_coordinator.cpp
@@ -0,0 +1,251 @@
+#include "group_coordinator.h"
+
+#include "log.h"
+
+#include <algorithm>
+
+namespace turmericline {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Between questions to each agent, for counts; faster while a switch waits for the states of the ranks. */
+constexpr std::chrono::milliseconds askPeriod{300};
+constexpr std::chrono::milliseconds switchAskPeriod{100};
+constexpr std::chrono::milliseconds considerPeriod{200};
+/** States older than this are not used for a decision. */
+constexpr std::chrono::milliseconds stateLifetime{1'000};
+constexpr std::chrono::milliseconds abandonPause{1'000};
+/** Numbers of maps that different coordinators choose at the same time differ in their lower digits. */
+constexpr MapNumber numberStride = 1'000'000;
+
+TimePoint clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+GroupCoordinator::GroupCoordinator(const ExpertLayout &layout,
+                                   std::size_t ranks,
+                                   GroupLink link,
+                                   std::mt19937_64 &random)
+    : m_layout(layout)
+    , m_link(std::move(link))
+    , m_random(random)
+    , m_balancer({}, layout, ranks)
+    , m_states(ranks)
+{
+}
+
+void GroupCoordinator::tick(TimePoint now)
+{
+    if (now >= m_askAt) {
+        m_askAt = now + (m_switch ? switchAskPeriod : askPeriod);
+        ask(now);
+    }
+    if (m_switch) {
+        driveSwitch(now);
+    } else if (now >= m_considerAt) {
+        m_considerAt = now + considerPeriod;
+        considerSwitch(now);
+    }
+}
+
+void GroupCoordinator::ask(TimePoint)
+{
+    for (std::uint32_t n = 0; n < m_states.size(); ++n) {
+        if (m_states[n].isAsked) {
+            continue;
+        }
+        m_states[n].isAsked = true;
+        m_link.askNews(n, m_needsHeld, [this, n, life = std::weak_ptr<int>(m_life)](std::optional<RankNews> news) {
+            if (!life.expired()) {
+                onNews(clockNow(), n, std::move(news));
+            }
+        });
+    }
+}
+
+void GroupCoordinator::onNews(TimePoint now, std::uint32_t rank, std::optional<RankNews> news)
+{
+    auto &member = m_states[rank];
+    member.isAsked = false;
+    if (!news || news->state.rank != rank) {
+        return;
+    }
+    member.state = news->state;
+    member.at = now;
+    member.held = std::move(news->held);
+    member.isNew = true;
+    if (news->state.epoch > m_epoch) {
+        m_epoch = news->state.epoch;
+        m_mapNumber.reset();
+    }
+    m_balancer.observe(now, rank, news->counts);
+    if (m_switch) {
+        driveSwitch(now);
+    }
+}
+
+void GroupCoordinator::driveSwitch(TimePoint now)
+{
+    std::vector<std::optional<RankState>> fresh(m_states.size());
+    for (std::size_t n = 0; n < m_states.size(); ++n) {
+        if (std::exchange(m_states[n].isNew, false)) {
+            fresh[n] = m_states[n].state;
+        }
+    }
+    const auto before = m_switch->phase();
+    const auto orders = m_switch->poll(now, fresh);
+    if (m_switch->phase() != before) {
+        logEvent(LogLevel::Debug,
+                 "map switch advanced",
+                 {{"map", m_switch->version()}, {"phase", static_cast<int>(m_switch->phase())}});
+    }
+    for (const auto &[rank, order] : orders) {
+        m_link.sendOrder(
+            rank,
+            order,
+            [this, n = rank, sent = order, life = std::weak_ptr<int>(m_life)](std::optional<bool> accepted) {
+                if (life.expired() || !m_switch || m_switch->version() != sent.version) {
+                    return;
+                }
+                m_switch->onAnswer(clockNow(), n, sent, accepted);
+                driveSwitch(clockNow());
+            });
+    }
+    if (m_switch->isEnded()) {
+        endSwitch(now);
+    }
+}
+
+void GroupCoordinator::endSwitch(TimePoint now)
+{
+    const bool isDone = m_switch->phase() == MapSwitch::Phase::Done;
+    logEvent(isDone ? LogLevel::Info : LogLevel::Warning,
+             isDone ? "expert map in use" : "expert map abandoned",
+             {{"map", m_switch->version()},
+              {"epoch", m_epoch},
+              {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_switchAt).count()},
+              {"reason", m_switch->reason()}});
+    if (isDone && !m_switch->map().empty()) {
+        m_map = m_switch->map();
+        m_mapNumber = m_switch->version();
+    } else {
+        m_mapNumber.reset();
+        m_considerAt = now + abandonPause;
+    }
+    m_switch.reset();
+}
+
+bool GroupCoordinator::isSettled(TimePoint now) const
+{
+    return std::all_of(m_states.begin(), m_states.end(), [this, now](const Member &it) {
+        return it.state && now - it.at < stateLifetime && it.state->epoch == m_epoch && it.state->isOpen
+               && it.state->size == m_states.size();
+    });
+}
+
+bool GroupCoordinator::learnMap()
+{
+    const auto number = m_states.front().state->map;
+    const bool isSame = std::all_of(m_states.begin(), m_states.end(), [number](const Member &it) {
+        return it.state->map == number;
+    });
+    if (!isSame) {
+        return false;
+    }
+    if (number == 0) {
+        m_map = m_balancer.initialMap();
+        m_mapNumber = 0;
+        return true;
+    }
+    m_needsHeld = true;
+    LayerMaps map(m_layout.layers, ExpertMap(m_states.size()));
+    for (std::size_t r = 0; r < m_states.size(); ++r) {
+        if (m_states[r].held.size() != m_layout.layers) {
+            return false;
+        }
+        for (std::size_t l = 0; l < m_layout.layers; ++l) {
+            map[l][r] = m_states[r].held[l];
+            std::sort(map[l][r].begin(), map[l][r].end());
+        }
+    }
+    m_map = std::move(map);
+    m_mapNumber = number;
+    m_needsHeld = false;
+    return true;
+}
+
+MapNumber GroupCoordinator::nextNumber()
+{
+    MapNumber largest = 0;
+    for (const auto &it : m_states) {
+        largest = std::max({largest, it.state->map, it.state->prepared.value_or(0), it.state->armed.value_or(0)});
+    }
+    return (largest / numberStride + 1) * numberStride
+           + std::uniform_int_distribution<MapNumber>(0, numberStride - 1)(m_random);
+}
+
+void GroupCoordinator::resumeSwitch(TimePoint now)
+{
+    const auto held = *m_states[holdingRank].state->held;
+    std::optional<MapNumber> number;
+    for (const auto &it : m_states) {
+        number = number ? number : it.state->armed;
+    }
+    const auto prepared = m_states.front().state->prepared;
+    const bool isPreparedByAll = std::all_of(m_states.begin(), m_states.end(), [prepared](const Member &it) {
+        return prepared && it.state->prepared == prepared && it.state->map != prepared;
+    });
+    if (!number && isPreparedByAll) {
+        number = prepared;
+    }
+    // Without a map that may be armed, the switch has nothing to arm and only ends the hold.
+    m_switch = MapSwitch::resume({}, now, m_epoch, m_states.size(), number.value_or(m_states.front().state->map), held);
+    m_switchAt = now;
+    logEvent(LogLevel::Warning, "hold found without a switch", {{"pass", held}, {"map", m_switch->version()}});
+}
+
+void GroupCoordinator::considerSwitch(TimePoint now)
+{
+    if (!isSettled(now)) {
+        return;
+    }
+    if (m_states[holdingRank].state->held) {
+        resumeSwitch(now);
+        return;
+    }
+    const bool isArmed = std::any_of(m_states.begin(), m_states.end(), [](const Member &it) {
+        return it.state->armed.has_value();
+    });
+    if (isArmed) {
+        return; // An idle group takes the map into use with its next pass.
+    }
+    if (m_mapNumber != m_states.front().state->map && !learnMap()) {
+        return;
+    }
+    auto proposal = m_balancer.propose(now, m_map);
+    if (!proposal) {
+        return;
+    }
+    const auto number = nextNumber();
+    logEvent(LogLevel::Info,
+             "expert map proposed",
+             {{"map", number},
+              {"replaces", *m_mapNumber},
+              {"epoch", m_epoch},
+              {"moves", proposal->moves},
+              {"skew_before", proposal->skewBefore},
+              {"skew_after", proposal->skewAfter}});
+    m_switch.emplace(MapSwitchConfig{}, now, m_epoch, m_states.size(), number, std::move(proposal->map));
+    m_switchAt = now;
+    for (auto &it : m_states) {
+        it.isNew = false;
+    }
+    driveSwitch(now);
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/group_coordinator.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "expert_balancer.h"
+#include "map_switch.h"
+#include "rank_codec.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+/** Ways to the agents of the ranks of a group. Handlers are never called from within a call. */
+struct GroupLink
+{
+    using NewsHandler = std::function<void(std::optional<RankNews> news)>;
+    using OrderHandler = std::function<void(std::optional<bool> isAccepted)>;
+
+    std::function<void(std::uint32_t rank, bool withHeld, NewsHandler handler)> askNews;
+    std::function<void(std::uint32_t rank, const RankOrder &order, OrderHandler handler)> sendOrder;
+};
+
+/**
+ * Balances the experts of one group: collects counts, decides on a new map and switches to it. Runs beside the rank that
+ * holds the group; the agents of the other ranks only answer. Keeps nothing that it cannot learn again from the ranks.
+ */
+class GroupCoordinator
+{
+public:
+    GroupCoordinator(const ExpertLayout &layout, std::size_t ranks, GroupLink link, std::mt19937_64 &random);
+    GroupCoordinator(const GroupCoordinator &) = delete;
+    GroupCoordinator &operator=(const GroupCoordinator &) = delete;
+
+    void tick(TimePoint now);
+
+    std::size_t ranks() const
+    {
+        return m_states.size();
+    }
+
+private:
+    /** What is known of one rank. */
+    struct Member
+    {
+        std::optional<RankState> state;
+        TimePoint at{};
+        HeldExperts held;
+        bool isAsked = false;
+        bool isNew = false; ///< Not handed to the switch yet.
+    };
+
+    void ask(TimePoint now);
+    void onNews(TimePoint now, std::uint32_t rank, std::optional<RankNews> news);
+    void driveSwitch(TimePoint now);
+    void considerSwitch(TimePoint now);
+    bool isSettled(TimePoint now) const;
+    bool learnMap();
+    void resumeSwitch(TimePoint now);
+    MapNumber nextNumber();
+    void endSwitch(TimePoint now);
+
+    ExpertLayout m_layout;
+    GroupLink m_link;
+    std::mt19937_64 &m_random;
+    ExpertBalancer m_balancer;
+    std::vector<Member> m_states; ///< By rank.
+    std::optional<MapSwitch> m_switch;
+    std::optional<MapNumber> m_mapNumber; ///< Of m_map; nothing if the map in use is not known.
+    LayerMaps m_map;
+    bool m_needsHeld = false;
+    std::uint64_t m_epoch = 0;
+    TimePoint m_askAt{};
+    TimePoint m_considerAt{};
+    TimePoint m_switchAt{};
+    std::shared_ptr<int> m_life = std::make_shared<int>(0); ///< Handlers of a coordinator that is gone do nothing.
+};
+
+} // namespace turmericline
--- a/src/placement_search.cpp
+++ b/src/placement_search.cpp
@@ -71,6 +71,7 @@
     }
     m_heldAtStart = m_held;
     m_moves = 0;
+    m_newCopies.assign(map.size(), 0);
     m_edits.clear();
     m_stepsLeft = 0;
     for (std::size_t r = 0; r < map.size(); ++r) {
@@ -118,6 +119,19 @@
     }
 }
 
+void MapSearch::limitNewCopies(std::size_t most)
+{
+    m_mostNewCopies = most;
+}
+
+bool MapSearch::isWithinLimit(std::initializer_list<Edit> edits) const
+{
+    return std::all_of(edits.begin(), edits.end(), [this](const Edit &it) {
+        return it.kind == Edit::Kind::Drop || moveCost(it.expert, it.rank) == 0.0
+               || m_newCopies[it.rank] < m_mostNewCopies;
+    });
+}
+
 bool MapSearch::step()
 {
     m_hottest = static_cast<std::size_t>(std::max_element(m_rankLoad.begin(), m_rankLoad.end()) - m_rankLoad.begin());
@@ -334,7 +348,7 @@
 void MapSearch::consider(std::initializer_list<Edit> edits, double cost, double gain)
 {
     const double rate = gain / std::max(cost, undoCost);
-    if (gain > smallestGain && rate > m_bestRate) {
+    if (gain > smallestGain && rate > m_bestRate && isWithinLimit(edits)) {
         m_bestRate = rate;
         m_best.count = edits.size();
         std::copy(edits.begin(), edits.end(), m_best.edits.begin());
@@ -352,9 +366,11 @@
     const bool isMove = moveCost(edit.expert, edit.rank) > 0.0;
     if (isPut) {
         m_moves += isMove ? 1 : 0;
+        m_newCopies[edit.rank] += isMove ? 1 : 0;
         m_slots[edit.rank].push_back(edit.expert);
     } else {
         m_moves -= isMove ? 1 : 0;
+        m_newCopies[edit.rank] -= isMove ? 1 : 0;
         eraseValue(m_slots[edit.rank], edit.expert);
         eraseValue(holders, rank);
         m_rankLoad[edit.rank] -= before;
--- a/src/placement_search.h
+++ b/src/placement_search.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <initializer_list>
+#include <limits>
 #include <span>
 
 namespace turmericline {
@@ -25,6 +26,9 @@
     /** Starts from @p map with the expected @p shares of the experts. */
     void reset(const ExpertMap &map, const ExpertLoads &shares);
 
+    /** Allows at most @p most copies per rank that it did not hold at the start; call it before step(). */
+    void limitNewCopies(std::size_t most);
+
     /** Makes the change with the best gain per move; returns false if no change gains anything. */
     bool step();
 
@@ -85,6 +89,7 @@
         return m_holders[expert].size();
     }
 
+    bool isWithinLimit(std::initializer_list<Edit> edits) const;
     double moveCost(ExpertIndex expert, std::size_t rank) const;
     void chooseTargets();
     void rateExperts();
@@ -107,6 +112,8 @@
     std::vector<std::uint32_t> m_targets; ///< Least loaded ranks, which a step may put copies on.
     std::vector<Rating> m_ratings;
     std::vector<Edit> m_edits;
+    std::vector<std::size_t> m_newCopies; ///< Copies of each rank that it did not hold at the start.
+    std::size_t m_mostNewCopies = std::numeric_limits<std::size_t>::max();
     std::size_t m_moves = 0;
     std::size_t m_hottest = 0;
     std::size_t m_stepsLeft = 0; ///< Steps until the targets are chosen anew.
--- a/src/routing_type.h
+++ b/src/routing_type.h
@@ -52,10 +52,20 @@
     }
 };
 
+/** How the ranks of a group may hold the experts of their model. */
+struct ExpertLayout
+{
+    std::uint32_t layers = 0; ///< Sets of layers, each with a map of its own.
+    std::uint32_t experts = 0; ///< Per layer.
+    std::uint32_t slots = 0; ///< Experts that a rank holds of one layer, at most.
+    std::uint32_t newPerSwitch = 0; ///< Experts that a rank can copy for one change of map, of one layer.
+};
+
 struct RoutingService
 {
     std::string name;
     std::uint32_t maxConnections = 64; ///< Of one backend server, from all callers together.
+    std::optional<ExpertLayout> experts; ///< Nothing if the servers are not ranks that share experts.
 };
 
 /** What a caller may send, and how long it may take. */
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "backend_connection.h"
+#include "http_caller.h"
 #include "store_feed.h"
 
 #include <functional>
@@ -24,7 +24,6 @@
                 std::string address,
                 ChangeHandler onChange,
                 std::mt19937_64 &random);
-    ~StoreReader();
     StoreReader(const StoreReader &) = delete;
     StoreReader &operator=(const StoreReader &) = delete;
 
@@ -37,24 +36,16 @@
     }
 
 private:
-    struct Answer
-    {
-        int status = 0;
-        std::string body;
-    };
-
     void call(TimePoint now, const StoreCall &call);
-    void onAnswer(const Answer &answer);
-    void onFailure(std::string reason);
+    void onReply(std::uint64_t serial, const std::optional<HttpReply> &reply, std::string reason);
 
-    asio::io_context &m_io;
     StoreFeed m_feed;
     std::string m_name; ///< Prefix, for logs.
     std::string m_address;
     ChangeHandler m_onChange;
     std::mt19937_64 &m_random;
-    std::shared_ptr<BackendConnection> m_connection;
-    TimePoint m_callEndsAt = TimePoint::max();
+    HttpCaller m_caller;
+    std::uint64_t m_serial = 0; ///< Of the call under way; replies to earlier ones are dropped.
     bool m_isLost = false; ///< The loss was logged.
 };
 
