--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -49,6 +49,16 @@
     return config;
 }
 
+ExpertBalancerConfig balancerConfig(const ExpertAgentSettings &settings)
+{
+    ExpertBalancerConfig config;
+    config.halfLife = settings.demandHalfLife;
+    config.newPerSwitch = settings.newCopies;
+    config.goalSkew = static_cast<double>(settings.goalSkewPercent) / 100;
+    config.smallestGain = static_cast<double>(settings.smallestGainPercent) / 100;
+    return config;
+}
+
 std::string_view ipOf(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -64,6 +74,7 @@
     , m_settings(settings)
     , m_dialect(std::move(dialect))
     , m_rankDialect(std::move(ranks))
+    , m_balancerConfig(balancerConfig(settings))
     , m_ip(ipOf(settings.peer))
     , m_peerPort(parseEndpoint(settings.peer)->port())
     , m_random(std::random_device()())
@@ -355,7 +366,8 @@
             m_coordinator.reset();
         }
     } else if (!m_coordinator || m_coordinator->ranks() != m_ownState->size) {
-        m_coordinator = std::make_unique<GroupCoordinator>(*service->experts, m_ownState->size, makeLink(), m_random);
+        m_coordinator = std::make_unique<GroupCoordinator>(
+            m_balancerConfig, *service->experts, m_ownState->size, makeLink(), m_random);
     }
     if (m_coordinator) {
         m_coordinator->tick(now);
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -45,6 +45,7 @@
     ExpertAgentSettings m_settings;
     GatewayDialect m_dialect;
     RankDialect m_rankDialect;
+    ExpertBalancerConfig m_balancerConfig;
     std::string m_ip;
     std::uint16_t m_peerPort;
     std::mt19937_64 m_random;
--- a/src/expert_agent_settings.h
+++ b/src/expert_agent_settings.h
@@ -13,9 +13,13 @@
     std::string metrics;
     std::string store;
     std::string logLevel;
+    std::chrono::milliseconds demandHalfLife{};
+    std::uint64_t newCopies = 0;
+    std::uint64_t goalSkewPercent = 0;
+    std::uint64_t smallestGainPercent = 0;
 };
 
-inline constexpr std::array<SettingRow<ExpertAgentSettings>, 6> expertAgentSettingRows{{
+inline constexpr std::array<SettingRow<ExpertAgentSettings>, 10> expertAgentSettingRows{{
     {"name", &ExpertAgentSettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &ExpertAgentSettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"peer",
@@ -29,6 +33,34 @@
     {"metrics", &ExpertAgentSettings::metrics, "", "IP:PORT of the operators' port", false, 0, 0, checkAddress},
     {"store", &ExpertAgentSettings::store, "", "IP:PORT of the platform's store", true, 0, 0, checkAddress},
     {"log-level", &ExpertAgentSettings::logLevel, "info", "debug, info, warning or error", false, 0, 0, checkLogLevel},
+    {"demand-half-life-ms",
+     &ExpertAgentSettings::demandHalfLife,
+     "1000",
+     "half-life of a count of experts",
+     false,
+     50,
+     600'000},
+    {"new-copies",
+     &ExpertAgentSettings::newCopies,
+     "2",
+     "copies of a rank and layer for one change of map",
+     false,
+     1,
+     64},
+    {"goal-skew-percent",
+     &ExpertAgentSettings::goalSkewPercent,
+     "125",
+     "load of the most loaded rank in percent of the mean that is good enough; higher saves copies",
+     false,
+     100,
+     1'000},
+    {"smallest-gain-percent",
+     &ExpertAgentSettings::smallestGainPercent,
+     "6",
+     "part of the skew that a change of map must save",
+     false,
+     0,
+     100},
 }};
 
 } // namespace turmericline
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -23,7 +23,6 @@
     : m_config(config)
     , m_layout(layout)
     , m_shape{ranks, layout.slots, layout.experts}
-    , m_search(m_shape)
     , m_loads(layout.layers, ExpertLoads(layout.experts, 0.0))
     , m_last(ranks)
 {
@@ -77,6 +76,42 @@
     return sum / static_cast<double>(map.size());
 }
 
+ExpertLoads ExpertBalancer::shares(std::size_t layer) const
+{
+    auto loads = m_loads[layer];
+    const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+    const double even = evenPart / static_cast<double>(loads.size());
+    for (auto &it : loads) {
+        it = it / sum * (1 - evenPart) + even;
+    }
+    return loads;
+}
+
+void ExpertBalancer::improve(std::vector<MapSearch> &searches) const
+{
+    std::vector<int> idle(searches.size(), 0);
+    const auto worst = [&]() -> MapSearch * {
+        MapSearch *found = nullptr;
+        for (std::size_t l = 0; l < searches.size(); ++l) {
+            if (idle[l] < patience && (found == nullptr || searches[l].skew() > found->skew())) {
+                found = &searches[l];
+            }
+        }
+        return found;
+    };
+    // The layer with the largest skew comes first: the layers of a pass follow one another, so their times add up.
+    for (int step = 0; step < maxSteps; ++step) {
+        auto *search = worst();
+        if (search == nullptr || search->skew() <= m_config.goalSkew) {
+            return;
+        }
+        const double before = search->skew();
+        const bool hasChanged = search->step();
+        auto &count = idle[static_cast<std::size_t>(search - searches.data())];
+        count = !hasChanged ? patience : search->skew() < before ? 0 : count + 1;
+    }
+}
+
 std::optional<MapProposal> ExpertBalancer::propose(TimePoint now, const LayerMaps &current)
 {
     decay(now);
@@ -84,27 +119,17 @@
         return std::nullopt;
     }
     MapProposal proposal{current, skew(current), 1, 0};
+    if (proposal.skewBefore <= m_config.goalSkew) {
+        return std::nullopt;
+    }
+    std::vector<MapSearch> searches(current.size(), MapSearch(m_shape));
     for (std::size_t l = 0; l < current.size(); ++l) {
-        auto loads = m_loads[l];
-        const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
-        const double even = evenPart * sum / static_cast<double>(loads.size());
-        for (auto &it : loads) {
-            it = (it * (1 - evenPart) + even) / sum;
-        }
-        m_search.reset(current[l], loads);
-        m_search.limitNewCopies(std::min<std::size_t>(m_config.newPerSwitch, m_layout.newPerSwitch));
-        double lowest = m_search.skew();
-        std::size_t best = 0;
-        int idle = 0;
-        for (int step = 0; step < maxSteps && idle < patience && m_search.step(); ++step) {
-            ++idle;
-            if (m_search.skew() < lowest) {
-                lowest = m_search.skew();
-                best = m_search.edits().size();
-                idle = 0;
-            }
-        }
-        MapSearch::applyTo(proposal.map[l], std::span(m_search.edits()).first(best));
+        searches[l].reset(current[l], shares(l));
+        searches[l].limitNewCopies(std::min<std::size_t>(m_config.newPerSwitch, m_layout.newPerSwitch));
+    }
+    improve(searches);
+    for (std::size_t l = 0; l < current.size(); ++l) {
+        MapSearch::applyTo(proposal.map[l], searches[l].edits());
         proposal.moves += movesBetween(current[l], proposal.map[l]);
     }
     proposal.skewAfter = skew(proposal.map);
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -14,6 +14,7 @@
 struct ExpertBalancerConfig
 {
     std::chrono::milliseconds halfLife{1'000}; ///< Of a count: the demand changes within seconds.
+    double goalSkew = 1.25; ///< Copies beyond it are not worth their price.
     double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
     std::size_t newPerSwitch = 2; ///< Copies that a rank makes at most for one change of map, of one layer.
     double smallestDemand = 20'000; ///< Counts without which the demand is not known well enough.
@@ -49,12 +50,13 @@
 
 private:
     void decay(TimePoint now);
+    ExpertLoads shares(std::size_t layer) const;
+    void improve(std::vector<MapSearch> &searches) const;
     double demand() const;
 
     ExpertBalancerConfig m_config;
     ExpertLayout m_layout;
     PlacementShape m_shape;
-    MapSearch m_search;
     std::vector<ExpertLoads> m_loads; ///< Decayed counts by layer.
     std::vector<std::optional<RankCounts>> m_last; ///< By rank.
     TimePoint m_decayedAt{};
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 /** Between questions to each agent, for counts; faster while a switch waits for the states of the ranks. */
-constexpr std::chrono::milliseconds askPeriod{300};
-constexpr std::chrono::milliseconds switchAskPeriod{100};
-constexpr std::chrono::milliseconds considerPeriod{200};
+constexpr std::chrono::milliseconds askPeriod{200};
+constexpr std::chrono::milliseconds switchAskPeriod{50};
+constexpr std::chrono::milliseconds considerPeriod{100};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
 constexpr std::chrono::milliseconds abandonPause{1'000};
@@ -27,14 +27,15 @@
 
 } // namespace
 
-GroupCoordinator::GroupCoordinator(const ExpertLayout &layout,
+GroupCoordinator::GroupCoordinator(const ExpertBalancerConfig &config,
+                                   const ExpertLayout &layout,
                                    std::size_t ranks,
                                    GroupLink link,
                                    std::mt19937_64 &random)
     : m_layout(layout)
     , m_link(std::move(link))
     , m_random(random)
-    , m_balancer({}, layout, ranks)
+    , m_balancer(config, layout, ranks)
     , m_states(ranks)
 {
 }
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -30,7 +30,11 @@
 class GroupCoordinator
 {
 public:
-    GroupCoordinator(const ExpertLayout &layout, std::size_t ranks, GroupLink link, std::mt19937_64 &random);
+    GroupCoordinator(const ExpertBalancerConfig &config,
+                     const ExpertLayout &layout,
+                     std::size_t ranks,
+                     GroupLink link,
+                     std::mt19937_64 &random);
     GroupCoordinator(const GroupCoordinator &) = delete;
     GroupCoordinator &operator=(const GroupCoordinator &) = delete;
 
