Repeat idempotent requests that a server failed at, and call the store less

Safe requests now go to another server if time and the budget of repeats allow; agents read the server list every 2 s with stale reads at a tenth of the price instead of watching it; watches of gateways start at least 150 ms (configuration) or 400 ms (servers) after the one before.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds longestPause{4'000};
 /** A full server has room again after about one request. */
 constexpr std::chrono::milliseconds fullPause{100};
+/** A single failure is often that of the request; the next request goes elsewhere if it can. */
+constexpr std::chrono::milliseconds failingPause{50};
 /** The store announces the new holder of an address within about this time. */
 constexpr std::chrono::milliseconds misdirectedPause{3'000};
 /** A group that lost a rank opens again some hundred milliseconds after the rank is back. */
@@ -25,6 +27,8 @@
 std::chrono::milliseconds pauseOf(BackendFault fault, std::uint32_t failures)
 {
     switch (fault) {
+    case BackendFault::Failing:
+        return failingPause;
     case BackendFault::Full:
         return fullPause;
     case BackendFault::Misdirected:
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -56,6 +56,7 @@
 enum class BackendFault {
     Unreachable, ///< No connection, or silence.
     Broken, ///< An answer that was cut or malformed.
+    Failing, ///< It failed at a request by its own account.
     Full, ///< It refused for want of room.
     Misdirected, ///< Another server has its address.
     Stalled, ///< Its group of ranks is stalled or broken.
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -21,6 +21,7 @@
 /** Of the time that a caller has left: the longest Retry-After that callers honour is a third. */
 constexpr int retryAfterShare = 4;
 constexpr std::chrono::milliseconds shortestRetryAfter{200};
+constexpr int firstServerError = 500;
 
 } // namespace
 
@@ -43,6 +44,20 @@
     return m_request.rule->isIdempotent() || !m_mayHaveRun;
 }
 
+bool Exchange::hasAttemptsLeft() const
+{
+    const auto arrivals = m_summary.attempts - m_misses;
+    return arrivals < std::max(1U, m_request.rule->maxAttempts) && m_misses <= maxMisses;
+}
+
+/** The server failed at an idempotent request that another one may serve. */
+bool Exchange::isWorthRepeating(TimePoint now, const HttpHead &head)
+{
+    return head.status >= firstServerError && m_request.rule->isIdempotent() && hasAttemptsLeft()
+           && now + m_request.rule->latencyTarget / 2 < endOfTime()
+           && m_tables.backends.choose(now, m_request.service, m_tried, m_tables.random) && retries().takeRepeat(now);
+}
+
 TimePoint Exchange::endOfTime() const
 {
     const auto timeout = m_request.rule->timeout;
@@ -142,6 +157,12 @@
         }
         return actions;
     }
+    if (isWorthRepeating(now, head)) {
+        actions.emplace_back(StopAttempt{true});
+        endAttempt(now, {Verdict::Run, BackendFault::Failing, "the server failed with " + std::to_string(head.status)});
+        attempt(now, actions);
+        return actions;
+    }
     m_head = SendHead{head.status, {}, std::nullopt};
     for (const auto &it : head.headers) {
         if (!isHopByHop(it.first)) {
@@ -245,10 +266,8 @@
     }
     const bool wasMiss = failure.verdict == Verdict::NotRun && failure.fault == BackendFault::Unreachable;
     m_misses += wasMiss ? 1 : 0;
-    const auto arrivals = m_summary.attempts - m_misses;
-    const bool hasAttempts = arrivals < std::max(1U, m_request.rule->maxAttempts) && m_misses <= maxMisses;
     const bool canResume = !m_isCommitted || (isStream() && m_request.rule->isResumable);
-    if (!mayRepeat() || !hasAttempts || !canResume || (!wasMiss && !retries().takeRepeat(now))) {
+    if (!mayRepeat() || !hasAttemptsLeft() || !canResume || (!wasMiss && !retries().takeRepeat(now))) {
         giveUp(now, actions);
         return;
     }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -68,6 +68,8 @@
 private:
     bool isStream() const;
     bool mayRepeat() const;
+    bool hasAttemptsLeft() const;
+    bool isWorthRepeating(TimePoint now, const HttpHead &head);
     TimePoint endOfTime() const;
     std::chrono::milliseconds silenceLimit() const;
     void attempt(TimePoint now, ExchangeActions &actions);
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -13,8 +13,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickPeriod{50};
-/** Servers and the layout of experts change rarely, and each call to the store has its price. */
-constexpr std::chrono::milliseconds watchWait{25'000};
+/** An agent needs its group and the agents of the others, which orders with an old epoch do no harm to. */
+constexpr std::chrono::milliseconds serverPeriod{2'000};
+/** The layout of experts changes with the model only. */
+constexpr std::chrono::milliseconds configPeriod{10'000};
 constexpr std::chrono::milliseconds ownCheckPeriod{1'000};
 /** A rank answers on its own machine within milliseconds, or not at all. */
 constexpr std::chrono::milliseconds rankTimeout{300};
@@ -30,11 +32,11 @@
 const std::string orderTarget = "/rank/order";
 const std::string packedType = "application/msgpack";
 
-StoreFeedConfig feedConfig(std::string prefix)
+StoreFeedConfig feedConfig(std::string prefix, std::chrono::milliseconds period)
 {
     StoreFeedConfig config;
     config.prefix = std::move(prefix);
-    config.watchWait = watchWait;
+    config.stalePeriod = period;
     return config;
 }
 
@@ -53,7 +55,7 @@
 {
     ExpertBalancerConfig config;
     config.halfLife = settings.demandHalfLife;
-    config.newPerSwitch = settings.newCopies;
+    config.copiesPerSwitch = settings.copiesPerSwitch;
     config.goalSkew = static_cast<double>(settings.goalSkewPercent) / 100;
     config.smallestGain = static_cast<double>(settings.smallestGainPercent) / 100;
     return config;
@@ -83,7 +85,7 @@
     , m_configReader(
           io,
           m_dialect,
-          feedConfig(m_dialect.configKey),
+          feedConfig(m_dialect.configKey, configPeriod),
           settings.store,
           [this](TimePoint, const StoreChange &change, std::chrono::milliseconds) {
               onConfig(change);
@@ -92,7 +94,7 @@
     , m_serverReader(
           io,
           m_dialect,
-          feedConfig(m_dialect.serverPrefix),
+          feedConfig(m_dialect.serverPrefix, serverPeriod),
           settings.store,
           [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
               m_registry.apply(now, change, outage);
@@ -149,7 +151,9 @@
             logEvent(LogLevel::Error, "configuration rejected, the one in force stays", {{"reason", config.reason}});
             continue;
         }
-        m_table = std::make_unique<RoutingTable>(std::move(*config.value));
+        if (!m_table || config.value->version > m_table->config().version) {
+            m_table = std::make_unique<RoutingTable>(std::move(*config.value));
+        }
     }
 }
 
--- a/src/expert_agent_settings.h
+++ b/src/expert_agent_settings.h
@@ -14,7 +14,7 @@
     std::string store;
     std::string logLevel;
     std::chrono::milliseconds demandHalfLife{};
-    std::uint64_t newCopies = 0;
+    std::uint64_t copiesPerSwitch = 0;
     std::uint64_t goalSkewPercent = 0;
     std::uint64_t smallestGainPercent = 0;
 };
@@ -40,13 +40,13 @@
      false,
      50,
      600'000},
-    {"new-copies",
-     &ExpertAgentSettings::newCopies,
-     "2",
-     "copies of a rank and layer for one change of map",
+    {"copies-per-switch",
+     &ExpertAgentSettings::copiesPerSwitch,
+     "6",
+     "experts that a rank copies at most for one change of map",
      false,
      1,
-     64},
+     1'000},
     {"goal-skew-percent",
      &ExpertAgentSettings::goalSkewPercent,
      "125",
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -87,6 +87,22 @@
     return loads;
 }
 
+/** Copies that each rank may have in the layer of @p search, given those in the other layers. */
+std::vector<std::size_t> ExpertBalancer::copiesLeft(const std::vector<MapSearch> &searches,
+                                                    const MapSearch &search) const
+{
+    std::vector<std::size_t> left(m_shape.ranks);
+    for (std::size_t r = 0; r < left.size(); ++r) {
+        std::size_t all = 0;
+        for (const auto &it : searches) {
+            all += it.newCopies(r);
+        }
+        const auto free = m_config.copiesPerSwitch - std::min(all, m_config.copiesPerSwitch);
+        left[r] = std::min<std::size_t>(search.newCopies(r) + free, m_layout.newPerSwitch);
+    }
+    return left;
+}
+
 void ExpertBalancer::improve(std::vector<MapSearch> &searches) const
 {
     std::vector<int> idle(searches.size(), 0);
@@ -105,6 +121,7 @@
         if (search == nullptr || search->skew() <= m_config.goalSkew) {
             return;
         }
+        search->limitNewCopies(copiesLeft(searches, *search));
         const double before = search->skew();
         const bool hasChanged = search->step();
         auto &count = idle[static_cast<std::size_t>(search - searches.data())];
@@ -125,7 +142,6 @@
     std::vector<MapSearch> searches(current.size(), MapSearch(m_shape));
     for (std::size_t l = 0; l < current.size(); ++l) {
         searches[l].reset(current[l], shares(l));
-        searches[l].limitNewCopies(std::min<std::size_t>(m_config.newPerSwitch, m_layout.newPerSwitch));
     }
     improve(searches);
     for (std::size_t l = 0; l < current.size(); ++l) {
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -16,7 +16,8 @@
     std::chrono::milliseconds halfLife{1'000}; ///< Of a count: the demand changes within seconds.
     double goalSkew = 1.25; ///< Copies beyond it are not worth their price.
     double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
-    std::size_t newPerSwitch = 2; ///< Copies that a rank makes at most for one change of map, of one layer.
+    std::size_t copiesPerSwitch
+        = 6; ///< Copies that a rank makes at most for one change of map: the time that it takes.
     double smallestDemand = 20'000; ///< Counts without which the demand is not known well enough.
 };
 
@@ -52,6 +53,7 @@
     void decay(TimePoint now);
     ExpertLoads shares(std::size_t layer) const;
     void improve(std::vector<MapSearch> &searches) const;
+    std::vector<std::size_t> copiesLeft(const std::vector<MapSearch> &searches, const MapSearch &search) const;
     double demand() const;
 
     ExpertBalancerConfig m_config;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds proofMargin{300};
 /** Changes of servers are rarer than the proof of the configuration needs calls. */
 constexpr std::chrono::milliseconds serverWatchWait{8'000};
+/** A server that leaves still serves for 2 s after its announcement. */
+constexpr std::chrono::milliseconds serverWatchPeriod{400};
 /** The platform takes two missed checks, a second apart, to send no more callers here. */
 constexpr std::chrono::milliseconds outOfRotationTime{2'500};
 /** Before the end of the grace time, for the last bytes. */
@@ -50,6 +52,7 @@
 {
     auto config = feedConfig(std::move(prefix));
     config.watchWait = serverWatchWait;
+    config.shortestPeriod = serverWatchPeriod;
     return config;
 }
 
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -71,7 +71,8 @@
     std::string readyPath; ///< Path at which the platform's balancer asks whether callers may be sent here.
     std::string configKey; ///< Of the item that holds the configuration.
     std::string serverPrefix; ///< Of the items that announce backend servers.
-    std::function<std::string(std::string_view prefix, std::string_view afterKey)> rangeTarget;
+    /** @p allowsStale: the answer may be seconds old, for a lower price. */
+    std::function<std::string(std::string_view prefix, std::string_view afterKey, bool allowsStale)> rangeTarget;
     std::function<std::string(std::string_view prefix, std::uint64_t afterRevision, std::chrono::milliseconds wait)>
         watchTarget;
     std::function<Result<StorePage>(std::string_view body)> readPage;
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -134,6 +134,11 @@
     if (isDone && !m_switch->map().empty()) {
         m_map = m_switch->map();
         m_mapNumber = m_switch->version();
+        // What the ranks stated before does not show the new map.
+        for (auto &it : m_states) {
+            it.state.reset();
+        }
+        m_askAt = now;
     } else {
         m_mapNumber.reset();
         m_considerAt = now + abandonPause;
--- a/src/placement_search.cpp
+++ b/src/placement_search.cpp
@@ -119,16 +119,19 @@
     }
 }
 
-void MapSearch::limitNewCopies(std::size_t most)
+void MapSearch::limitNewCopies(std::span<const std::size_t> mostByRank)
 {
-    m_mostNewCopies = most;
+    m_mostNewCopies.assign(mostByRank.begin(), mostByRank.end());
 }
 
 bool MapSearch::isWithinLimit(std::initializer_list<Edit> edits) const
 {
+    if (m_mostNewCopies.empty()) {
+        return true;
+    }
     return std::all_of(edits.begin(), edits.end(), [this](const Edit &it) {
         return it.kind == Edit::Kind::Drop || moveCost(it.expert, it.rank) == 0.0
-               || m_newCopies[it.rank] < m_mostNewCopies;
+               || m_newCopies[it.rank] < m_mostNewCopies[it.rank];
     });
 }
 
--- a/src/placement_search.h
+++ b/src/placement_search.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <initializer_list>
-#include <limits>
 #include <span>
 
 namespace turmericline {
@@ -26,8 +25,14 @@
     /** Starts from @p map with the expected @p shares of the experts. */
     void reset(const ExpertMap &map, const ExpertLoads &shares);
 
-    /** Allows at most @p most copies per rank that it did not hold at the start; call it before step(). */
-    void limitNewCopies(std::size_t most);
+    /** Allows each rank at most so many copies that it did not hold at the start. */
+    void limitNewCopies(std::span<const std::size_t> mostByRank);
+
+    /** Copies that @p rank did not hold at the start. */
+    std::size_t newCopies(std::size_t rank) const
+    {
+        return m_newCopies[rank];
+    }
 
     /** Makes the change with the best gain per move; returns false if no change gains anything. */
     bool step();
@@ -113,7 +118,7 @@
     std::vector<Rating> m_ratings;
     std::vector<Edit> m_edits;
     std::vector<std::size_t> m_newCopies; ///< Copies of each rank that it did not hold at the start.
-    std::size_t m_mostNewCopies = std::numeric_limits<std::size_t>::max();
+    std::vector<std::size_t> m_mostNewCopies; ///< By rank; empty for no limit.
     std::size_t m_moves = 0;
     std::size_t m_hottest = 0;
     std::size_t m_stepsLeft = 0; ///< Steps until the targets are chosen anew.
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -27,13 +27,15 @@
     }
     m_isCalling = true;
     m_calledAt = bootNow;
+    m_startedAt = now;
     ++m_calls;
     if (m_isWatching) {
         return StoreCall{m_dialect.watchTarget(m_config.prefix, m_revision, m_config.watchWait),
                          m_config.watchWait + m_config.answerTimeout};
     }
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
-    return StoreCall{m_dialect.rangeTarget(m_config.prefix, after), m_config.answerTimeout};
+    return StoreCall{m_dialect.rangeTarget(m_config.prefix, after, m_config.stalePeriod.has_value()),
+                     m_config.answerTimeout};
 }
 
 std::optional<StoreChange>
@@ -58,11 +60,11 @@
     m_isCalling = false;
     m_failures = 0;
     m_failingSince.reset();
-    m_dueAt = now;
-    return onPage(std::move(*page.value));
+    m_dueAt = std::max(now, m_startedAt + m_config.shortestPeriod);
+    return onPage(now, std::move(*page.value));
 }
 
-std::optional<StoreChange> StoreFeed::onPage(StorePage page)
+std::optional<StoreChange> StoreFeed::onPage(TimePoint now, StorePage page)
 {
     if (m_isWatching) {
         // The store answers a watch without events only when the wait is over.
@@ -80,7 +82,10 @@
     // The pages are not one snapshot: the watch starts at the first one, so that changes in between are seen.
     m_revision = *std::exchange(m_snapshotRevision, std::nullopt);
     m_confirmedAt = m_calledAt;
-    m_isWatching = true;
+    m_isWatching = !m_config.stalePeriod;
+    if (m_config.stalePeriod) {
+        m_dueAt = now + *m_config.stalePeriod;
+    }
     return StoreChange{std::exchange(m_pages, {}), true};
 }
 
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -14,7 +14,11 @@
 struct StoreFeedConfig
 {
     std::string prefix;
-    std::chrono::milliseconds watchWait{1'500};
+    std::chrono::milliseconds watchWait{2'000};
+    /** Between the starts of two calls: changes that come close together are read by one call. */
+    std::chrono::milliseconds shortestPeriod{150};
+    /** Reads everything at this period instead of watching. Such reads may be seconds old and cost a tenth. */
+    std::optional<std::chrono::milliseconds> stalePeriod;
     std::chrono::milliseconds answerTimeout{1'000}; ///< Of a call, beyond its wait.
     std::chrono::milliseconds shortestBackoff{50};
     std::chrono::milliseconds longestBackoff{800};
@@ -73,7 +77,7 @@
     }
 
 private:
-    std::optional<StoreChange> onPage(StorePage page);
+    std::optional<StoreChange> onPage(TimePoint now, StorePage page);
 
     const GatewayDialect &m_dialect;
     StoreFeedConfig m_config;
@@ -81,6 +85,7 @@
     bool m_isCalling = false;
     TimePoint m_dueAt{};
     BootTime m_calledAt{};
+    TimePoint m_startedAt{}; ///< Of the last call.
     std::uint64_t m_revision = 0;
     std::optional<std::uint64_t> m_snapshotRevision; ///< Of the first page of a read in several pages.
     std::vector<StoreItem> m_pages;
