Refuse requests in the last 3 s of the grace time, and longer while a service is down

New connections still arrive 6 s after SIGTERM when the platform uses all instances of a failure domain, and a stream begun then is cut at the end of the grace time. Such requests are now refused with 503.

While a service is down the Retry-After is now close to the third of the remaining time that callers honour, and a rank that names another one at fault pauses its whole group.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -56,6 +56,9 @@
     const bool isNew = !slot || slot->record.bornMs != record.bornMs || slot->record.service != record.service
                        || slot->record.address != record.address;
     if (!isNew) {
+        if (slot->record.groupEpoch != record.groupEpoch) {
+            slot->pausedUntil = {};
+        }
         slot->record = std::move(record);
         return;
     }
@@ -141,21 +144,13 @@
     return BackendPick{best->record.id, best->record.address};
 }
 
-std::optional<std::chrono::milliseconds> BackendTable::timeToRetry(TimePoint now, std::string_view service) const
+bool BackendTable::isDown(TimePoint now, std::string_view service) const
 {
     const auto servers = m_services.find(service);
-    std::optional<std::chrono::milliseconds> shortest;
-    if (servers == m_services.end()) {
-        return shortest;
-    }
-    for (const auto &it : servers->second) {
-        if (it->record.isLeaving) {
-            continue;
-        }
-        const auto rest = std::max(std::chrono::ceil<std::chrono::milliseconds>(it->pausedUntil - now), 0ms);
-        shortest = shortest ? std::min(*shortest, rest) : rest;
-    }
-    return shortest;
+    return servers == m_services.end()
+           || std::all_of(servers->second.begin(), servers->second.end(), [now](const auto &it) {
+                  return it->record.isLeaving || it->record.isGroupBroken || (it->pausedUntil > now && it->isDown);
+              });
 }
 
 void BackendTable::onStart(std::string_view id)
@@ -180,13 +175,28 @@
     }
 }
 
+void BackendTable::pause(TimePoint now, Backend &backend, BackendFault fault)
+{
+    backend.pausedUntil = std::max(backend.pausedUntil, now + pauseOf(fault, backend.failures));
+    backend.isDown = fault != BackendFault::Full && fault != BackendFault::Failing;
+}
+
 void BackendTable::onFault(TimePoint now, std::string_view id, BackendFault fault)
 {
     auto *it = findMutable(id);
     if (it == nullptr) {
         return;
     }
-    it->pausedUntil = std::max(it->pausedUntil, now + pauseOf(fault, it->failures));
+    if (fault != BackendFault::Stalled || it->record.group.empty()) {
+        pause(now, *it, fault);
+    } else {
+        // All ranks of a group stall together.
+        for (const auto &other : m_services[it->record.service]) {
+            if (other->record.group == it->record.group) {
+                pause(now, *other, fault);
+            }
+        }
+    }
     if (fault == BackendFault::Unreachable || fault == BackendFault::Broken) {
         ++it->failures;
     }
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -29,6 +29,7 @@
     bool isGroupBroken = false; ///< Its group of ranks serves nothing at present.
     std::string group; ///< Of ranks that advance in lock-step; empty for none.
     std::uint32_t rank = 0;
+    std::uint64_t groupEpoch = 0; ///< Grows each time the group forms anew.
     std::int64_t bornMs = 0; ///< Unix time of its start; a new value is a new incarnation under the same id.
 
     bool operator==(const BackendRecord &) const = default;
@@ -50,6 +51,7 @@
     TimePoint loadAt{}; ///< When that load was stated.
     std::uint32_t failures = 0; ///< Since the last good answer.
     TimePoint pausedUntil{}; ///< Gets no requests before.
+    bool isDown = false; ///< The pause is for a fault, not for want of room.
 };
 
 /** Why a server gets no requests for a while. */
@@ -89,8 +91,8 @@
     /** Chooses the server with the lowest load, leaving out @p tried and paused ones; nothing if none is left. */
     std::optional<BackendPick>
     choose(TimePoint now, std::string_view service, std::span<const std::string> tried, std::mt19937_64 &random) const;
-    /** Time until a paused server of the service is tried again; nothing if the service has no server at all. */
-    std::optional<std::chrono::milliseconds> timeToRetry(TimePoint now, std::string_view service) const;
+    /** No server of the service can be expected to serve; otherwise some are only busy. */
+    bool isDown(TimePoint now, std::string_view service) const;
 
     void onStart(std::string_view id);
     void onEnd(std::string_view id);
@@ -100,6 +102,7 @@
 
 private:
     double score(TimePoint now, const Backend &backend) const;
+    static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
 
     std::string m_domain;
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -18,8 +18,8 @@
 constexpr int silenceTargets = 4;
 /** A group of ranks that lost one stalls for 1.5 s before it says so. */
 constexpr std::chrono::milliseconds streamSilence{1'900};
-/** Of the time that a caller has left: the longest Retry-After that callers honour is a third. */
-constexpr int retryAfterShare = 4;
+/** Of the time that a caller has left: callers honour a Retry-After of up to a third. */
+constexpr double longestRetryAfterShare = 0.32;
 constexpr std::chrono::milliseconds shortestRetryAfter{200};
 constexpr int firstServerError = 500;
 
@@ -131,7 +131,9 @@
         m_tables.backends.onLoad(now, m_server, *fields.load);
     }
     if (fields.saysNotRun) {
-        const auto fault = fields.isMisdirected ? BackendFault::Misdirected : BackendFault::Full;
+        const auto fault = fields.isGroupFault    ? BackendFault::Stalled
+                           : fields.isMisdirected ? BackendFault::Misdirected
+                                                  : BackendFault::Full;
         actions.emplace_back(StopAttempt{true});
         continueAfter(now, {Verdict::NotRun, fault, "the server refused with " + std::to_string(head.status)}, actions);
         return actions;
@@ -293,14 +295,15 @@
 void Exchange::refuse(TimePoint now, std::string reason, ExchangeActions &actions)
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(endOfTime() - now);
-    const auto wait = m_tables.backends.timeToRetry(now, m_request.service).value_or(1s);
-    // Spread over as long again, so that the callers do not come back together.
-    const double spread = 1 + std::uniform_real_distribution<double>()(m_tables.random);
-    const auto wanted
-        = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(wait, shortestRetryAfter) * spread);
+    // Spread, so that the callers do not come back together. An outage lasts longer than callers may be asked to wait.
+    const double spread = std::uniform_real_distribution<double>(0.8, 1.0)(m_tables.random);
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(left * longestRetryAfterShare);
+    const auto busy = std::max(shortestRetryAfter, m_request.rule->latencyTarget);
+    const auto base = m_tables.backends.isDown(now, m_request.service) ? longest : std::min(busy, longest);
+    const auto wanted = std::chrono::duration_cast<std::chrono::milliseconds>(base * spread);
     m_summary.status = 503;
     m_summary.verdict = Verdict::NotRun;
-    finish(actions, Reply{503, std::move(reason), std::clamp(wanted, 1ms, std::max(left / retryAfterShare, 1ms))});
+    finish(actions, Reply{503, std::move(reason), std::max(wanted, 1ms)});
 }
 
 ExchangeActions Exchange::onTick(TimePoint now)
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds outOfRotationTime{2'500};
 /** Before the end of the grace time, for the last bytes. */
 constexpr std::chrono::milliseconds exitMargin{500};
+/** Requests that come later before the end of the grace time could not be finished; a stream lasts 1 to 2 s. */
+constexpr std::chrono::milliseconds lastRequestTime{3'000};
+/** Another instance can take the request at once. */
+constexpr std::chrono::milliseconds stoppingReturn{50};
 
 std::uint64_t randomSeed()
 {
@@ -160,6 +164,10 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto caller = m_dialect.readCaller(head);
+    if (m_drainingSince && now - *m_drainingSince > m_settings.grace - lastRequestTime) {
+        refuse(*connection, caller, {503, "the instance is stopping", stoppingReturn});
+        return;
+    }
     auto routed = routeRequest(now, m_table, configProof(), caller, std::move(head), std::move(body), m_random);
     if (const auto *reply = std::get_if<Reply>(&routed)) {
         refuse(*connection, caller, *reply);
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -40,6 +40,7 @@
     bool isSigned = false; ///< A backend server vouches for it.
     bool saysNotRun = false; ///< The request has not run and will not.
     bool isMisdirected = false; ///< Another server has the address.
+    bool isGroupFault = false; ///< Another rank of the server's group is at fault.
     std::optional<BackendLoad> load;
     std::optional<std::chrono::milliseconds> keepAlive; ///< Time for which the server keeps the idle connection.
 };
