Take no new requests from 2.9 s after SIGTERM, and test the units of the gateway

Ruled out: the listener and the exit, which act as planned. The platform needs about 2 s to send callers elsewhere.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -25,8 +25,8 @@
 constexpr std::chrono::milliseconds outOfRotationTime{2'500};
 /** Before the end of the grace time, for the last bytes. */
 constexpr std::chrono::milliseconds exitMargin{500};
-/** Requests that come later before the end of the grace time could not be finished; a stream lasts 1 to 2 s. */
-constexpr std::chrono::milliseconds lastRequestTime{3'000};
+/** By then the platform sends callers elsewhere; later requests might not be finished within the grace time. */
+constexpr std::chrono::milliseconds newRequestTime{2'900};
 /** Another instance can take the request at once. */
 constexpr std::chrono::milliseconds stoppingReturn{50};
 
@@ -164,7 +164,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto caller = m_dialect.readCaller(head);
-    if (m_drainingSince && now - *m_drainingSince > m_settings.grace - lastRequestTime) {
+    if (m_drainingSince && now - *m_drainingSince > newRequestTime) {
         refuse(*connection, caller, {503, "the instance is stopping", stoppingReturn});
         return;
     }
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -20,11 +20,6 @@
 /** Numbers of maps that different coordinators choose at the same time differ in their lower digits. */
 constexpr MapNumber numberStride = 1'000'000;
 
-TimePoint clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 GroupCoordinator::GroupCoordinator(const ExpertBalancerConfig &config,
@@ -42,9 +37,10 @@
 
 void GroupCoordinator::tick(TimePoint now)
 {
+    m_now = now;
     if (now >= m_askAt) {
         m_askAt = now + (m_switch ? switchAskPeriod : askPeriod);
-        ask(now);
+        ask();
     }
     if (m_switch) {
         driveSwitch(now);
@@ -54,7 +50,7 @@
     }
 }
 
-void GroupCoordinator::ask(TimePoint)
+void GroupCoordinator::ask()
 {
     for (std::uint32_t n = 0; n < m_states.size(); ++n) {
         if (m_states[n].isAsked) {
@@ -63,14 +59,15 @@
         m_states[n].isAsked = true;
         m_link.askNews(n, m_needsHeld, [this, n, life = std::weak_ptr<int>(m_life)](std::optional<RankNews> news) {
             if (!life.expired()) {
-                onNews(clockNow(), n, std::move(news));
+                onNews(n, std::move(news));
             }
         });
     }
 }
 
-void GroupCoordinator::onNews(TimePoint now, std::uint32_t rank, std::optional<RankNews> news)
+void GroupCoordinator::onNews(std::uint32_t rank, std::optional<RankNews> news)
 {
+    const auto now = m_now;
     auto &member = m_states[rank];
     member.isAsked = false;
     if (!news || news->state.rank != rank) {
@@ -113,8 +110,8 @@
                 if (life.expired() || !m_switch || m_switch->version() != sent.version) {
                     return;
                 }
-                m_switch->onAnswer(clockNow(), n, sent, accepted);
-                driveSwitch(clockNow());
+                m_switch->onAnswer(m_now, n, sent, accepted);
+                driveSwitch(m_now);
             });
     }
     if (m_switch->isEnded()) {
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -56,8 +56,8 @@
         bool isNew = false; ///< Not handed to the switch yet.
     };
 
-    void ask(TimePoint now);
-    void onNews(TimePoint now, std::uint32_t rank, std::optional<RankNews> news);
+    void ask();
+    void onNews(std::uint32_t rank, std::optional<RankNews> news);
     void driveSwitch(TimePoint now);
     void considerSwitch(TimePoint now);
     bool isSettled(TimePoint now) const;
@@ -76,6 +76,7 @@
     LayerMaps m_map;
     bool m_needsHeld = false;
     std::uint64_t m_epoch = 0;
+    TimePoint m_now{}; ///< Of the last tick.
     TimePoint m_askAt{};
     TimePoint m_considerAt{};
     TimePoint m_switchAt{};
--- a/src/retry_window.h
+++ b/src/retry_window.h
@@ -16,8 +16,9 @@
 };
 
 /**
- * Limits how many repeats one gateway sends to one service in any span of the window, from its own requests alone: the
- * limits of all gateways add up to that of the service without any exchange between them.
+ * Limits how many repeats one gateway sends to one service, from its own requests alone: with each repeat, those of the
+ * window before it stay within the share of the requests in it. The limits of all gateways add up to that of the service
+ * without any exchange between them.
  *
  * Load pattern: a service that fails everything, where each repeat adds to the load that makes it fail.
  */
--- /dev/null
+++ b/tests/exchange_stand.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "exchange.h"
+
+#include <algorithm>
+
+/** Tables and a request for tests of an exchange, with a few servers of one service. */
+struct ExchangeStand
+{
+    turmericline::TimePoint now{std::chrono::seconds(1'000)};
+    std::mt19937_64 random{7};
+    turmericline::BackendTable backends{"d1"};
+    std::map<std::string, turmericline::RetryWindow, std::less<>> retries;
+    turmericline::RetryWindowConfig retryConfig{std::chrono::seconds(10), 0.2, 10};
+    turmericline::RoutingRule rule;
+
+    ExchangeStand()
+    {
+        for (const char *id : {"a", "b", "c"}) {
+            turmericline::BackendRecord record;
+            record.id = id;
+            record.service = "s";
+            record.address = "127.0.0.1:1";
+            record.domain = "d1";
+            backends.upsert(record);
+        }
+        rule.kind = turmericline::RouteKind::Unsafe;
+        rule.timeout = std::chrono::seconds(8);
+        rule.latencyTarget = std::chrono::milliseconds(500);
+        rule.maxAttempts = 2;
+        rule.targets = {{"s", 1}};
+    }
+
+    turmericline::Exchange make()
+    {
+        turmericline::ExchangeRequest request;
+        request.caller.requestId = "r1";
+        request.caller.deadline = std::chrono::milliseconds(5'000);
+        request.rule = &rule;
+        request.service = "s";
+        request.arrived = now;
+        return {std::move(request), {backends, retries, retryConfig, random}};
+    }
+
+    /** Head of an answer that a server vouches for. */
+    static turmericline::HttpHead head(int status)
+    {
+        turmericline::HttpHead it;
+        it.status = status;
+        return it;
+    }
+
+    static turmericline::AnswerFields signedFields()
+    {
+        turmericline::AnswerFields fields;
+        fields.isSigned = true;
+        return fields;
+    }
+
+    static turmericline::AnswerFields refusal()
+    {
+        turmericline::AnswerFields fields;
+        fields.saysNotRun = true;
+        return fields;
+    }
+
+    template<typename Action>
+    static const Action *find(const turmericline::ExchangeActions &actions)
+    {
+        for (const auto &it : actions) {
+            if (const auto *found = std::get_if<Action>(&it)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+};
--- /dev/null
+++ b/tests/fuzz_exchange_test.cpp
@@ -0,0 +1,168 @@
+#include "exchange_stand.h"
+#include "fuzz_property.h"
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** What happens next to the request, drawn at random. */
+enum class Event {
+    Unreached,
+    Reset,
+    Refusal,
+    Success,
+    Failure,
+    Unsigned,
+    Body,
+    End,
+    Tick,
+    CallerGone,
+};
+
+/** Checks each action of an exchange against what the servers did with the request. */
+class Oracle
+{
+public:
+    explicit Oracle(const ExchangeStand &stand)
+        : m_stand(stand)
+    {
+    }
+
+    void check(const ExchangeActions &actions)
+    {
+        for (const auto &it : actions) {
+            RC_ASSERT(!m_isAnswered);
+            if (const auto *start = std::get_if<StartAttempt>(&it)) {
+                RC_ASSERT(!m_isRunning);
+                RC_ASSERT(!m_mayHaveRun || m_stand.rule.isIdempotent());
+                RC_ASSERT(start->fields.deadline <= 5'000ms);
+                m_isRunning = true;
+                ++m_attempts;
+            } else if (std::holds_alternative<StopAttempt>(it)) {
+                // What is stopped without a refusal may have run.
+                m_mayHaveRun = m_mayHaveRun || m_isRunning;
+                m_isRunning = false;
+            } else if (const auto *reply = std::get_if<Reply>(&it)) {
+                RC_ASSERT(!m_hasHead);
+                RC_ASSERT(reply->status != 503 || !m_mayHaveRun);
+                m_isAnswered = true;
+            } else if (std::holds_alternative<SendHead>(it)) {
+                RC_ASSERT(!m_hasHead);
+                m_hasHead = true;
+            } else if (std::holds_alternative<SendBody>(it)) {
+                RC_ASSERT(m_hasHead);
+            } else {
+                RC_ASSERT(m_hasHead);
+                m_isAnswered = true;
+            }
+        }
+    }
+
+    /** An attempt ended on the server's side. */
+    void onAttemptEnd(bool mayHaveRun, bool hasArrived)
+    {
+        m_isRunning = false;
+        m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+        m_arrivals += hasArrived ? 1 : 0;
+        RC_ASSERT(m_arrivals <= m_stand.rule.maxAttempts);
+    }
+
+    bool isRunning() const
+    {
+        return m_isRunning;
+    }
+
+    bool isAnswered() const
+    {
+        return m_isAnswered;
+    }
+
+private:
+    const ExchangeStand &m_stand;
+    bool m_isRunning = false;
+    bool m_mayHaveRun = false;
+    bool m_hasHead = false;
+    bool m_isAnswered = false;
+    unsigned m_attempts = 0;
+    unsigned m_arrivals = 0;
+};
+
+} // namespace
+
+/** Guards against any order of events that repeats an unsafe request or breaks a promise to the caller. */
+class ExchangeFuzz : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExchangeFuzz);
+    CPPUNIT_TEST(promisesHoldInAnyOrderOfEvents);
+    CPPUNIT_TEST_SUITE_END();
+
+    static ExchangeActions play(Exchange &exchange, Oracle &oracle, TimePoint now, Event event)
+    {
+        switch (event) {
+        case Event::Unreached:
+            oracle.onAttemptEnd(false, false);
+            return exchange.onFailure(now, {Verdict::NotRun, BackendFault::Unreachable, "no connection"});
+        case Event::Reset:
+            oracle.onAttemptEnd(true, true);
+            return exchange.onFailure(now, {Verdict::MayHaveRun, BackendFault::Unreachable, "reset"});
+        case Event::Refusal:
+            oracle.onAttemptEnd(false, true);
+            return exchange.onHead(now, ExchangeStand::head(503), ExchangeStand::refusal());
+        case Event::Success:
+            return exchange.onHead(now, ExchangeStand::head(200), ExchangeStand::signedFields());
+        case Event::Failure:
+            return exchange.onHead(now, ExchangeStand::head(500), ExchangeStand::signedFields());
+        case Event::Unsigned:
+            return exchange.onHead(now, ExchangeStand::head(200), {});
+        case Event::Body:
+            return exchange.onBody(now, "id: 1\ndata: x\n\n");
+        case Event::End:
+            oracle.onAttemptEnd(true, true);
+            return exchange.onEnd(now);
+        case Event::Tick:
+            return exchange.onTick(now);
+        case Event::CallerGone:
+            return exchange.onCallerGone(now);
+        }
+        return {};
+    }
+
+public:
+    void promisesHoldInAnyOrderOfEvents()
+    {
+        const auto failure = counterexample("promises hold", fuzzParams(60, 3'000), [] {
+            ExchangeStand stand;
+            stand.rule.kind = *rc::gen::element(RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream);
+            stand.rule.isResumable = *rc::gen::arbitrary<bool>();
+            stand.rule.maxAttempts = *rc::gen::inRange(1U, 4U);
+            auto exchange = stand.make();
+            Oracle oracle(stand);
+            oracle.check(exchange.start(stand.now));
+            const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1'000));
+            for (const auto step : steps) {
+                stand.now += std::chrono::milliseconds(step % 97 * 4);
+                auto event = static_cast<Event>(step % 10);
+                const bool needsAttempt = event != Event::Tick && event != Event::CallerGone;
+                if (exchange.isEnded() || (needsAttempt && !oracle.isRunning())) {
+                    event = Event::Tick;
+                }
+                // The caller leaves rarely, so that most cases go on.
+                if (event == Event::CallerGone && step > 100) {
+                    event = Event::Tick;
+                }
+                oracle.check(play(exchange, oracle, stand.now, event));
+            }
+            if (!exchange.isEnded()) {
+                oracle.check(exchange.onTick(stand.now + 10s));
+            }
+            RC_ASSERT(exchange.isEnded());
+            for (const char *id : {"a", "b", "c"}) {
+                RC_ASSERT(stand.backends.find(id)->inFlight == 0U);
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(), failure);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeFuzz);
--- /dev/null
+++ b/tests/unit_store_feed_test.cpp
@@ -0,0 +1,192 @@
+#include "backend_registry.h"
+#include "platform_dialect.h"
+#include "store_feed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards against lost changes, configurations trusted for too long, and servers dropped or kept wrongly. */
+class StoreFeedTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreFeedTest);
+    CPPUNIT_TEST(readsThenWatches);
+    CPPUNIT_TEST(readsAllPagesFromTheFirstRevision);
+    CPPUNIT_TEST(readsAgainWhenHistoryIsLost);
+    CPPUNIT_TEST(quietWatchConfirmsItsWait);
+    CPPUNIT_TEST(failureDelaysAndDoesNotConfirm);
+    CPPUNIT_TEST(stalePeriodNeverWatches);
+    CPPUNIT_TEST(lapsedServerIsHeldAfterOutage);
+    CPPUNIT_TEST(leavingServerIsDroppedInCalm);
+    CPPUNIT_TEST(foreignAnnouncementNamesNoServer);
+    CPPUNIT_TEST(newIncarnationForgetsTheOld);
+    CPPUNIT_TEST_SUITE_END();
+
+    GatewayDialect m_dialect = platformDialect();
+    std::mt19937_64 m_random{3};
+    TimePoint m_now{1'000s};
+    BootTime m_boot{5'000s};
+
+    StoreFeed makeFeed()
+    {
+        StoreFeedConfig config;
+        config.prefix = "servers/";
+        return {m_dialect, config};
+    }
+
+    static std::string page(const std::string &items, int revision, bool isTruncated = false)
+    {
+        return R"({"items":[)" + items + R"(],"current_rev":)" + std::to_string(revision) + R"(,"truncated":)"
+               + (isTruncated ? "true" : "false") + "}";
+    }
+
+    static constexpr const char *itemA = R"({"key":"servers/a","value":"e30=","revision":3,"created":3,"lease":0})";
+    static constexpr const char *itemB = R"({"key":"servers/b","value":"e30=","revision":4,"created":4,"lease":0})";
+
+    static StoreItem server(const std::string &id, const std::string &state = "ready", int born = 1)
+    {
+        return {"servers/" + id,
+                R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":")" + state + R"(","born":)"
+                    + std::to_string(born) + "}",
+                false};
+    }
+
+public:
+    void readsThenWatches()
+    {
+        auto feed = makeFeed();
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/kv-range?prefix=servers/"), feed.takeCall(m_now, m_boot)->target);
+        CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
+        const auto change = feed.onAnswer(m_now, 200, page(itemA, 7), m_random);
+        CPPUNIT_ASSERT(change->isSnapshot);
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), change->items.front().value);
+        CPPUNIT_ASSERT(feed.confirmedAt() == m_boot);
+        m_now += 1s;
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("kv-watch?prefix=servers/&after=7&")
+                       != std::string::npos);
+        const auto event = feed.onAnswer(
+            m_now, 200, R"({"events":[{"key":"servers/a","revision":9,"deleted":true}],"current_rev":9})", m_random);
+        CPPUNIT_ASSERT(!event->isSnapshot && event->items.front().isDeleted);
+        m_now += 1s;
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("after=9&") != std::string::npos);
+    }
+
+    /** Changes between two pages would be lost if the watch started at the last page. */
+    void readsAllPagesFromTheFirstRevision()
+    {
+        auto feed = makeFeed();
+        feed.takeCall(m_now, m_boot);
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 200, page(itemA, 5, true), m_random));
+        m_now += 1s;
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&after=servers/a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed.onAnswer(m_now, 200, page(itemB, 8), m_random)->items.size());
+        m_now += 1s;
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("after=5&") != std::string::npos);
+    }
+
+    void readsAgainWhenHistoryIsLost()
+    {
+        auto feed = makeFeed();
+        feed.takeCall(m_now, m_boot);
+        feed.onAnswer(m_now, 200, page(itemA, 7), m_random);
+        m_now += 1s;
+        feed.takeCall(m_now, m_boot);
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 410, "{}", m_random));
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.starts_with("/v1/kv-range"));
+    }
+
+    void quietWatchConfirmsItsWait()
+    {
+        auto feed = makeFeed();
+        feed.takeCall(m_now, m_boot);
+        feed.onAnswer(m_now, 200, page("", 7), m_random);
+        m_now += 1s;
+        feed.takeCall(m_now, m_boot + 1s);
+        // The answer was held up, for one by a suspended machine: only the wait itself is proved.
+        feed.onAnswer(m_now + 30s, 200, R"({"events":[],"current_rev":7})", m_random);
+        CPPUNIT_ASSERT(feed.confirmedAt() == m_boot + 3s);
+    }
+
+    void failureDelaysAndDoesNotConfirm()
+    {
+        auto feed = makeFeed();
+        feed.takeCall(m_now, m_boot);
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 503, "", m_random));
+        CPPUNIT_ASSERT(!feed.confirmedAt());
+        CPPUNIT_ASSERT(feed.failingSince() == m_now);
+        CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
+        CPPUNIT_ASSERT(feed.takeCall(m_now + 50ms, m_boot).has_value());
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now + 50ms, 200, "not json", m_random));
+        CPPUNIT_ASSERT(feed.failingSince() == m_now);
+    }
+
+    void stalePeriodNeverWatches()
+    {
+        StoreFeedConfig config;
+        config.prefix = "op/config";
+        config.stalePeriod = 2s;
+        StoreFeed feed(m_dialect, config);
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&allow_stale=1"));
+        CPPUNIT_ASSERT(feed.onAnswer(m_now, 200, page("", 7), m_random)->isSnapshot);
+        CPPUNIT_ASSERT(!feed.takeCall(m_now + 1'900ms, m_boot));
+        CPPUNIT_ASSERT(feed.takeCall(m_now + 2s, m_boot)->target.starts_with("/v1/kv-range"));
+    }
+
+    void lapsedServerIsHeldAfterOutage()
+    {
+        BackendTable table("z");
+        BackendRegistry registry(m_dialect, table);
+        registry.apply(m_now, {{server("a"), server("b")}, true}, 0ms);
+        registry.apply(m_now, {{}, true}, 3s);
+        registry.tick(m_now + 2s);
+        CPPUNIT_ASSERT(table.find("a") != nullptr);
+        registry.apply(m_now + 2s, {{server("b")}, false}, 0ms);
+        registry.tick(m_now + 3s);
+        CPPUNIT_ASSERT(table.find("a") == nullptr);
+        CPPUNIT_ASSERT(table.find("b") != nullptr);
+    }
+
+    void leavingServerIsDroppedInCalm()
+    {
+        BackendTable table("z");
+        BackendRegistry registry(m_dialect, table);
+        registry.apply(m_now, {{server("a"), server("b")}, true}, 0ms);
+        registry.apply(m_now, {{server("a", "draining"), {"servers/b", "", true}}, false}, 0ms);
+        CPPUNIT_ASSERT(table.find("b") == nullptr);
+        CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
+    }
+
+    void foreignAnnouncementNamesNoServer()
+    {
+        BackendTable table("z");
+        BackendRegistry registry(m_dialect, table);
+        for (const char *value : {"",
+                                  "\xff\xfe",
+                                  "[]",
+                                  "{}",
+                                  R"({"service":1})",
+                                  R"({"service":"s","address":5})",
+                                  R"({"service":"s","address":"x","zone":"z","state":"odd"})"}) {
+            registry.apply(m_now, {{{"servers/x", value, false}}, false}, 0ms);
+            CPPUNIT_ASSERT(table.find("x") == nullptr);
+        }
+        // What another writer leaves under the key of a known server does not hide it.
+        registry.apply(m_now, {{server("a")}, true}, 0ms);
+        registry.apply(m_now, {{{"servers/a", "junk", false}}, false}, 0ms);
+        CPPUNIT_ASSERT(table.find("a") != nullptr);
+    }
+
+    void newIncarnationForgetsTheOld()
+    {
+        BackendTable table("z");
+        BackendRegistry registry(m_dialect, table);
+        registry.apply(m_now, {{server("a")}, true}, 0ms);
+        table.onFault(m_now, "a", BackendFault::Unreachable);
+        CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
+        registry.apply(m_now, {{server("a", "ready", 2)}, false}, 0ms);
+        CPPUNIT_ASSERT(table.choose(m_now, "s", {}, m_random).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFeedTest);
