Test the map switch, the balancer, the server table and the adapter

The switch runs against a model of a group in virtual time: orders lost, answered late or carried out 2 to 12 s later, coordinators and ranks that restart, agents cut off, an idle group. 150 seeds with all faults and 20 with each one: no pass with two maps, no group held for ever. With holds acknowledged without effect, or arming claimed, the oracle fails, as it should.

--- /dev/null
+++ b/tests/fuzz_map_switch_test.cpp
@@ -0,0 +1,115 @@
+#include "group_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards against a pass that begins with two maps, and against a group that is held for ever. */
+class MapSwitchFuzz : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MapSwitchFuzz);
+    CPPUNIT_TEST(switchesWithoutFaults);
+    CPPUNIT_TEST(oneMapUnderEachFault);
+    CPPUNIT_TEST(oneMapUnderAllFaults);
+    CPPUNIT_TEST(fallsWithoutTheHold);
+    CPPUNIT_TEST(fallsWithoutProofOfArming);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::chrono::milliseconds faultTime{60'000};
+    /** Late orders arrive for 12 s, and a switch that met a refusal waits for them. */
+    static constexpr std::chrono::milliseconds calmTime{45'000};
+
+    /** Empty if the map was one throughout and the group made passes again after the faults. */
+    static std::string play(const GroupFaults &faults, std::uint64_t seed)
+    {
+        GroupWorld world(faults, seed);
+        auto failure = world.run(faultTime, true);
+        if (failure.empty()) {
+            failure = world.run(calmTime, false);
+        }
+        if (!failure.empty()) {
+            return "seed " + std::to_string(seed) + ": " + failure;
+        }
+        const auto before = world.passes();
+        const auto switches = world.switches();
+        failure = world.run(10s, false);
+        if (failure.empty() && world.passes() < before + 100) {
+            failure = "the group is held";
+        }
+        if (failure.empty() && world.switches() == switches) {
+            failure = "no map was switched to in 10 s of calm";
+        }
+        return failure.empty() ? "" : "seed " + std::to_string(seed) + ": " + failure;
+    }
+
+    static std::string playSeeds(const GroupFaults &faults, std::uint64_t count)
+    {
+        for (std::uint64_t seed = 1; seed <= count; ++seed) {
+            if (const auto failure = play(faults, seed); !failure.empty()) {
+                return failure;
+            }
+        }
+        return {};
+    }
+
+    static GroupFaults allFaults()
+    {
+        GroupFaults faults;
+        faults.lost = 0.1;
+        faults.lostAnswer = 0.1;
+        faults.late = 0.15;
+        faults.coordinatorDies = 0.005;
+        faults.rankRestarts = 0.0005;
+        faults.agentCut = 0.003;
+        faults.idle = 0.002;
+        return faults;
+    }
+
+public:
+    void switchesWithoutFaults()
+    {
+        GroupWorld world({}, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.run(30s, true));
+        CPPUNIT_ASSERT(world.switches() >= 8);
+        CPPUNIT_ASSERT(!world.isHeld());
+    }
+
+    void oneMapUnderEachFault()
+    {
+        for (const auto fault : {&GroupFaults::lost,
+                                 &GroupFaults::lostAnswer,
+                                 &GroupFaults::late,
+                                 &GroupFaults::coordinatorDies,
+                                 &GroupFaults::rankRestarts,
+                                 &GroupFaults::agentCut,
+                                 &GroupFaults::idle}) {
+            GroupFaults faults;
+            faults.*fault = allFaults().*fault * 2;
+            CPPUNIT_ASSERT_EQUAL(std::string(), playSeeds(faults, 20));
+        }
+    }
+
+    void oneMapUnderAllFaults()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), playSeeds(allFaults(), 150));
+    }
+
+    /** The oracle must see what happens when arming is not protected by a hold. */
+    void fallsWithoutTheHold()
+    {
+        auto faults = allFaults();
+        faults.holdsNothing = true;
+        CPPUNIT_ASSERT(playSeeds(faults, 20).find("two maps") != std::string::npos);
+    }
+
+    /** The oracle must see what happens when the hold ends before all ranks are armed. */
+    void fallsWithoutProofOfArming()
+    {
+        auto faults = allFaults();
+        faults.claimsArmed = true;
+        CPPUNIT_ASSERT(playSeeds(faults, 50).find("two maps") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MapSwitchFuzz);
--- /dev/null
+++ b/tests/fuzz_platform_test.cpp
@@ -0,0 +1,219 @@
+#include "fuzz_property.h"
+#include "gateway_route.h"
+#include "platform_dialect.h"
+#include "platform_rank.h"
+#include "rank_codec.h"
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards the adapter against wrong readings of the platform's messages and against malformed ones. */
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(readsConfiguration);
+    CPPUNIT_TEST(readsServers);
+    CPPUNIT_TEST(setsAndStripsHeaders);
+    CPPUNIT_TEST(readsAnswers);
+    CPPUNIT_TEST(readsRanksAndWritesOrders);
+    CPPUNIT_TEST(routesByConfigurationAndKey);
+    CPPUNIT_TEST(codecReturnsWhatWasSent);
+    CPPUNIT_TEST(malformedInputIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    GatewayDialect m_dialect = platformDialect();
+
+    static constexpr std::string_view configText
+        = R"({"version":7,"routes":[{"name":"r1","host":"h.example","prefix":"/a/","kind":"stream","timeout_ms":8000,
+"target_latency_ms":500,"priority":1,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+"max_attempts":2,"allow_anonymous":false,"resume_streams":true,"target_gap_ms":120},
+{"name":"r2","host":"h.example","prefix":"/b/","kind":"odd","service":"s2","allow_anonymous":true}],
+"services":[{"name":"s1","max_conns":258,"engine":{"sets":4,"experts":72,"placements":8,"spare":3}},{"name":"s2"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}],"unknown":{"x":1}})";
+
+    static constexpr std::string_view serverText
+        = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":12,"state":"ready","born":17,
+"group":{"name":"g","epoch":3,"rank":5,"state":"open"},"size":12})";
+
+    static constexpr std::string_view stateText
+        = R"({"group":{"name":"g","epoch":3,"rank":5,"state":"open"},"size":12,"step":43,"map":4,
+"prepared":5,"armed":{"version":5,"step":50},"held":null})";
+
+    static HttpHead request(HttpHeaders headers)
+    {
+        HttpHead head;
+        head.method = "POST";
+        head.target = "/a/x?q=1";
+        head.headers = std::move(headers);
+        return head;
+    }
+
+    static bool has(const HttpHeaders &headers, const std::string &name, const std::string &value)
+    {
+        return std::count(headers.begin(), headers.end(), std::make_pair(name, value)) == 1
+               && std::count_if(headers.begin(), headers.end(), [&name](const auto &it) {
+                      return equalsIgnoringCase(it.first, name);
+                  }) == 1;
+    }
+
+    static bool lacks(const HttpHeaders &headers, const std::string &name)
+    {
+        return std::none_of(headers.begin(), headers.end(), [&name](const auto &it) {
+            return equalsIgnoringCase(it.first, name);
+        });
+    }
+
+public:
+    void readsConfiguration()
+    {
+        const auto config = m_dialect.readConfig(configText);
+        CPPUNIT_ASSERT_EQUAL(std::string(), config.reason);
+        const auto &rule = config.value->rules.front();
+        CPPUNIT_ASSERT(rule.kind == RouteKind::Stream && rule.isIdempotent() && rule.timeout == 8s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rule.targets.size());
+        // A kind that is not known may not be repeated.
+        CPPUNIT_ASSERT(config.value->rules.back().kind == RouteKind::Unsafe);
+        CPPUNIT_ASSERT(config.value->rules.back().allowsAnonymous);
+        CPPUNIT_ASSERT_EQUAL(72U, config.value->services.front().experts->experts);
+        CPPUNIT_ASSERT(!config.value->services.back().experts);
+        CPPUNIT_ASSERT(config.value->workspaces.front().priority == 1U);
+        CPPUNIT_ASSERT(config.value->limits.headerTimeout == 3s);
+    }
+
+    void readsServers()
+    {
+        const auto server = m_dialect.readServer("servers/i-1", serverText);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), server.value->id);
+        CPPUNIT_ASSERT_EQUAL(5U, server.value->rank);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, server.value->bornMs);
+        CPPUNIT_ASSERT(!server.value->isLeaving && !server.value->isGroupBroken);
+    }
+
+    void setsAndStripsHeaders()
+    {
+        const auto head = request({{"Host", "h.example"},
+                                   {"Attempt-Id", "r1"},
+                                   {"api-key", "secret"},
+                                   {"Tenant", "forged"},
+                                   {"Deadline-Ms", "9000"},
+                                   {"Expect-Replica", "forged"},
+                                   {"Last-Event-Id", "2"},
+                                   {"Connection", "keep-alive"},
+                                   {"Transfer-Encoding", "chunked"},
+                                   {"Model", "m"}});
+        const auto caller = m_dialect.readCaller(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), caller.key);
+        CPPUNIT_ASSERT(caller.deadline == 9s && caller.lastEventId == 2U);
+        const auto headers = m_dialect.forwardHeaders(head, {"i-1", "t1", 1'234ms, 3, 7});
+        CPPUNIT_ASSERT(has(headers, "Tenant", "t1") && has(headers, "Expect-Replica", "i-1"));
+        CPPUNIT_ASSERT(has(headers, "Deadline-Ms", "1234") && has(headers, "Last-Event-Id", "7"));
+        CPPUNIT_ASSERT(has(headers, "Attempt-Id", "r1") && has(headers, "Model", "m"));
+        CPPUNIT_ASSERT(has(headers, "Request-Priority", "3"));
+        CPPUNIT_ASSERT(lacks(headers, "Api-Key") && lacks(headers, "Connection")
+                       && lacks(headers, "Transfer-Encoding"));
+        CPPUNIT_ASSERT(lacks(m_dialect.forwardHeaders(head, {"i-1", "", 1ms, 0, std::nullopt}), "Tenant"));
+    }
+
+    void readsAnswers()
+    {
+        HttpHead head;
+        head.status = 503;
+        head.headers = {
+            {"Not-Executed", "1"}, {"Replica-Load", "3,2,8"}, {"At-Server", "i-2"}, {"Keep-Alive", "timeout=5, max=9"}};
+        const auto fields = m_dialect.readAnswer(head);
+        CPPUNIT_ASSERT(fields.saysNotRun && fields.isGroupFault && !fields.isSigned && !fields.isMisdirected);
+        CPPUNIT_ASSERT_EQUAL(3U, fields.load->running);
+        CPPUNIT_ASSERT_EQUAL(2U, fields.load->waiting);
+        CPPUNIT_ASSERT(fields.keepAlive == 5s);
+        head.status = 421;
+        head.headers = {{"Replica-Load", "x"}, {"Keep-Alive", "timeout="}, {"Replica-Signature", "s"}};
+        const auto other = m_dialect.readAnswer(head);
+        CPPUNIT_ASSERT(other.saysNotRun && other.isMisdirected && other.isSigned && !other.load && !other.keepAlive);
+    }
+
+    void readsRanksAndWritesOrders()
+    {
+        const auto ranks = platformRankDialect();
+        const auto state = ranks.readState(stateText);
+        CPPUNIT_ASSERT(state.value->armed == 5U && state.value->prepared == 5U && !state.value->held);
+        CPPUNIT_ASSERT_EQUAL(PassNumber{43}, state.value->pass);
+        RankOrder order{RankOrderKind::Arm, 3, 5, 50, {}};
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"epoch":3,"op":"arm","step":50,"version":5})"), ranks.orderBody(order));
+        order.kind = RankOrderKind::Prepare;
+        order.map = {{{0, 2}, {1}}};
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"epoch":3,"map":[[[0,2],[1]]],"op":"prepare","version":5})"),
+                             ranks.orderBody(order));
+        CPPUNIT_ASSERT(ranks.readHeld(R"({"map":{"version":1,"experts":[[0,1],[2]]}})").value->size() == 2);
+    }
+
+    void routesByConfigurationAndKey()
+    {
+        const auto table = std::make_shared<const RoutingTable>(*m_dialect.readConfig(configText).value);
+        std::mt19937_64 random(1);
+        const auto route = [&](const std::string &path, const std::string &key, ConfigProof proof) {
+            auto head = request({{"Host", "h.example:8080"}});
+            head.target = path;
+            CallerFields caller;
+            caller.key = key;
+            const auto routed = routeRequest(TimePoint{}, table, proof, caller, head, "", random);
+            const auto *reply = std::get_if<Reply>(&routed);
+            return reply == nullptr ? 0 : reply->status;
+        };
+        CPPUNIT_ASSERT_EQUAL(0, route("/a/x?/c/", "k2", ConfigProof::Recent));
+        CPPUNIT_ASSERT_EQUAL(401, route("/a/x", "k3", ConfigProof::Recent));
+        CPPUNIT_ASSERT_EQUAL(404, route("/c/", "k1", ConfigProof::Recent));
+        // Without proof that the configuration is recent, nothing is said about routes and keys.
+        CPPUNIT_ASSERT_EQUAL(503, route("/a/x", "k1", ConfigProof::Stale));
+        CPPUNIT_ASSERT_EQUAL(503, route("/a/x", "k3", ConfigProof::Stale));
+        CPPUNIT_ASSERT_EQUAL(503, route("/c/", "k1", ConfigProof::Stale));
+        CPPUNIT_ASSERT_EQUAL(0, route("/b/", "", ConfigProof::Stale));
+        CPPUNIT_ASSERT_EQUAL(503, route("/b/", "", ConfigProof::Missing));
+    }
+
+    void codecReturnsWhatWasSent()
+    {
+        RankNews news;
+        news.state = *platformRankDialect().readState(stateText).value;
+        news.counts = {3, {1, 2, 300'000}};
+        news.held = {{0, 1}, {2}};
+        const auto back = decodeRankNews(encodeRankNews(news));
+        CPPUNIT_ASSERT_EQUAL(std::string(), back.reason);
+        CPPUNIT_ASSERT(back.value->counts.counts == news.counts.counts && back.value->held == news.held);
+        CPPUNIT_ASSERT(back.value->state.armed == 5U && !back.value->state.held);
+        const RankOrder order{RankOrderKind::Prepare, 3, 5, 0, {{{0}, {1, 2}}}};
+        CPPUNIT_ASSERT(decodeRankOrder(encodeRankOrder(order)).value->map == order.map);
+    }
+
+    /** Each cut or changed byte gives a value or a reason, never an exception. */
+    void malformedInputIsRefused()
+    {
+        const auto failure = counterexample("malformed input is refused", fuzzParams(100, 2'000), [this] {
+            const auto ranks = platformRankDialect();
+            const std::string packed = encodeRankOrder({RankOrderKind::Prepare, 3, 5, 0, {{{0}, {1, 2}}}});
+            const std::string page = R"({"items":[{"key":"servers/a","value":"e30="}],"current_rev":1})";
+            std::string text(*rc::gen::element(
+                std::string(configText), std::string(serverText), std::string(stateText), page, packed));
+            const auto changes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1 << 24));
+            for (const auto it : changes) {
+                text[static_cast<std::size_t>(it >> 8) % text.size()] = static_cast<char>(it & 255);
+            }
+            text.resize(text.size() - *rc::gen::inRange<std::size_t>(0, text.size()));
+            const auto config = m_dialect.readConfig(text);
+            RC_ASSERT(config.value.has_value() || !config.reason.empty());
+            const auto server = m_dialect.readServer("servers/x", text);
+            RC_ASSERT(server.value.has_value() || !server.reason.empty());
+            const auto state = ranks.readState(text);
+            RC_ASSERT(state.value.has_value() || !state.reason.empty());
+            const auto read = m_dialect.readPage(text);
+            RC_ASSERT(read.value.has_value() || !read.reason.empty());
+            const auto order = decodeRankOrder(text);
+            RC_ASSERT(order.value.has_value() || !order.reason.empty());
+            const auto news = decodeRankNews(text);
+            RC_ASSERT(news.value.has_value() || !news.reason.empty());
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(), failure);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
--- /dev/null
+++ b/tests/unit_backend_table_test.cpp
@@ -0,0 +1,138 @@
+#include "backend_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards the choice of servers against piling requests on one of them and against servers that do not serve. */
+class BackendTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BackendTableTest);
+    CPPUNIT_TEST(evensOutRequests);
+    CPPUNIT_TEST(staysNearbyUnlessLoaded);
+    CPPUNIT_TEST(countsWhatOthersSend);
+    CPPUNIT_TEST(pausesGrowWithFailures);
+    CPPUNIT_TEST(stalledGroupPausesWhole);
+    CPPUNIT_TEST(newEpochEndsThePause);
+    CPPUNIT_TEST(fullServersAreNotDown);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now{1'000s};
+    std::mt19937_64 m_random{5};
+
+    static BackendRecord record(const std::string &id, const std::string &domain = "near")
+    {
+        BackendRecord it;
+        it.id = id;
+        it.service = "s";
+        it.address = "10.0.0.1:80";
+        it.domain = domain;
+        return it;
+    }
+
+    std::string chosen(BackendTable &table)
+    {
+        const auto pick = table.choose(m_now, "s", {}, m_random);
+        return pick ? pick->id : "";
+    }
+
+public:
+    void evensOutRequests()
+    {
+        BackendTable table("near");
+        for (int n = 0; n < 12; ++n) {
+            table.upsert(record(std::to_string(n)));
+        }
+        for (int n = 0; n < 120; ++n) {
+            table.onStart(chosen(table));
+        }
+        for (int n = 0; n < 12; ++n) {
+            CPPUNIT_ASSERT_EQUAL(10U, table.find(std::to_string(n))->inFlight);
+        }
+    }
+
+    void staysNearbyUnlessLoaded()
+    {
+        BackendTable table("near");
+        table.upsert(record("a"));
+        table.upsert(record("b", "far"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(table));
+        table.onStart("a");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(table));
+    }
+
+    void countsWhatOthersSend()
+    {
+        BackendTable table("near");
+        table.upsert(record("a"));
+        table.upsert(record("b"));
+        table.onLoad(m_now, "a", {5, 1});
+        table.onStart("b");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen(table));
+        // A load that was stated long ago says nothing.
+        m_now += 20s;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(table));
+    }
+
+    void pausesGrowWithFailures()
+    {
+        BackendTable table("near");
+        table.upsert(record("a"));
+        table.onFault(m_now, "a", BackendFault::Unreachable);
+        CPPUNIT_ASSERT_EQUAL(std::string(), chosen(table));
+        m_now += 250ms;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(table));
+        table.onFault(m_now, "a", BackendFault::Unreachable);
+        m_now += 450ms;
+        CPPUNIT_ASSERT_EQUAL(std::string(), chosen(table));
+        m_now += 50ms;
+        table.onSuccess("a");
+        table.onFault(m_now, "a", BackendFault::Unreachable);
+        m_now += 250ms;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(table));
+    }
+
+    void stalledGroupPausesWhole()
+    {
+        BackendTable table("near");
+        for (const char *id : {"a", "b"}) {
+            auto it = record(id);
+            it.group = "g";
+            table.upsert(it);
+        }
+        table.upsert(record("c"));
+        table.onFault(m_now, "a", BackendFault::Stalled);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), chosen(table));
+        table.onFault(m_now, "c", BackendFault::Unreachable);
+        CPPUNIT_ASSERT(table.isDown(m_now, "s"));
+    }
+
+    void newEpochEndsThePause()
+    {
+        BackendTable table("near");
+        auto it = record("a");
+        it.group = "g";
+        it.groupEpoch = 1;
+        table.upsert(it);
+        table.onFault(m_now, "a", BackendFault::Stalled);
+        it.groupEpoch = 2;
+        table.upsert(it);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), chosen(table));
+    }
+
+    /** Callers of a busy service are asked back sooner than those of one that is down. */
+    void fullServersAreNotDown()
+    {
+        BackendTable table("near");
+        table.upsert(record("a"));
+        table.onFault(m_now, "a", BackendFault::Full);
+        CPPUNIT_ASSERT_EQUAL(std::string(), chosen(table));
+        CPPUNIT_ASSERT(!table.isDown(m_now, "s"));
+        CPPUNIT_ASSERT(table.isDown(m_now, "unknown"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendTableTest);
--- /dev/null
+++ b/tests/unit_expert_balancer_test.cpp
@@ -0,0 +1,166 @@
+#include "expert_balancer.h"
+
+#include "placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <random>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t ranks = 12;
+const ExpertLayout layout{4, 72, 8, 3};
+
+/** Counts of requests whose topic changes from second to second; each topic has a few experts of its own. */
+class Demand
+{
+public:
+    Demand()
+        : m_total(std::size_t{layout.layers} * layout.experts, 0)
+    {
+    }
+
+    /** Counts of one rank after @p at, which grow from call to call. */
+    RankCounts after(std::chrono::milliseconds at)
+    {
+        std::mt19937 random(static_cast<std::uint32_t>(at / 3'000ms));
+        std::vector<double> weights(m_total.size());
+        for (auto &it : weights) {
+            it = 1 / std::pow(std::uniform_real_distribution<double>(0.02, 1.0)(random), 1.3);
+        }
+        for (std::size_t n = 0; n < m_total.size(); ++n) {
+            m_total[n] += static_cast<std::uint64_t>(100 * weights[n]);
+        }
+        return {1, m_total};
+    }
+
+private:
+    std::vector<std::uint64_t> m_total;
+};
+
+} // namespace
+
+/** Guards the maps against breaking the limits of the ranks, and the balance against the baseline of one fixed map. */
+class ExpertBalancerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExpertBalancerTest);
+    CPPUNIT_TEST(followsChangingDemand);
+    CPPUNIT_TEST(keepsTheLimitsOfRanks);
+    CPPUNIT_TEST(proposesNothingWithoutDemand);
+    CPPUNIT_TEST(proposesNothingWhenGoodEnough);
+    CPPUNIT_TEST(restartedRankCountsFromZero);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void observeAll(ExpertBalancer &balancer, TimePoint now, const RankCounts &counts)
+    {
+        for (std::uint32_t r = 0; r < ranks; ++r) {
+            balancer.observe(now, r, counts);
+        }
+    }
+
+public:
+    /** Replays 30 s of demand: a map is in use 400 ms after it is proposed. */
+    void followsChangingDemand()
+    {
+        ExpertBalancerConfig config;
+        config.halfLife = 250ms;
+        ExpertBalancer balancer(config, layout, ranks);
+        Demand demand;
+        auto map = balancer.initialMap();
+        const auto initial = map;
+        double balanced = 0;
+        double fixed = 0;
+        int windows = 0;
+        for (auto at = 0ms; at < 30s; at += 200ms) {
+            const TimePoint now = TimePoint(1'000s) + at;
+            observeAll(balancer, now, demand.after(at));
+            if (at < 1s) {
+                continue;
+            }
+            balanced += balancer.skew(map);
+            fixed += balancer.skew(initial);
+            ++windows;
+            if (at % 400ms == 0ms) {
+                if (auto proposal = balancer.propose(now, map)) {
+                    map = std::move(proposal->map);
+                }
+            }
+        }
+        CPPUNIT_ASSERT(balanced / windows < 0.75 * fixed / windows);
+    }
+
+    void keepsTheLimitsOfRanks()
+    {
+        ExpertBalancerConfig config;
+        config.copiesPerSwitch = 5;
+        config.goalSkew = 1.0;
+        ExpertBalancer balancer(config, layout, ranks);
+        Demand demand;
+        auto map = balancer.initialMap();
+        int proposals = 0;
+        for (auto at = 0ms; at < 20s; at += 500ms) {
+            const TimePoint now = TimePoint(1'000s) + at;
+            observeAll(balancer, now, demand.after(at));
+            const auto proposal = balancer.propose(now, map);
+            if (!proposal) {
+                continue;
+            }
+            ++proposals;
+            for (std::size_t r = 0; r < ranks; ++r) {
+                std::size_t copies = 0;
+                for (std::size_t l = 0; l < layout.layers; ++l) {
+                    CPPUNIT_ASSERT(proposal->map[l][r].size() <= layout.slots);
+                    const auto added = movesBetween({map[l][r]}, {proposal->map[l][r]});
+                    CPPUNIT_ASSERT(added <= layout.newPerSwitch);
+                    copies += added;
+                }
+                CPPUNIT_ASSERT(copies <= config.copiesPerSwitch);
+            }
+            for (const auto &layer : proposal->map) {
+                std::vector<int> held(layout.experts, 0);
+                for (const auto &rank : layer) {
+                    for (const auto it : rank) {
+                        ++held[it];
+                    }
+                }
+                CPPUNIT_ASSERT(*std::min_element(held.begin(), held.end()) > 0);
+            }
+            map = proposal->map;
+        }
+        CPPUNIT_ASSERT(proposals > 5);
+    }
+
+    void proposesNothingWithoutDemand()
+    {
+        ExpertBalancer balancer({}, layout, ranks);
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'000s), balancer.initialMap()));
+    }
+
+    void proposesNothingWhenGoodEnough()
+    {
+        ExpertBalancer balancer({}, layout, ranks);
+        RankCounts even{1, std::vector<std::uint64_t>(std::size_t{layout.layers} * layout.experts, 0)};
+        observeAll(balancer, TimePoint(1'000s), even);
+        for (auto &it : even.counts) {
+            it += 1'000;
+        }
+        observeAll(balancer, TimePoint(1'001s), even);
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), balancer.initialMap()));
+    }
+
+    /** Counts that fall must not be taken as a huge demand. */
+    void restartedRankCountsFromZero()
+    {
+        ExpertBalancer balancer({}, layout, ranks);
+        const std::size_t n = std::size_t{layout.layers} * layout.experts;
+        balancer.observe(TimePoint(1'000s), 0, {1, std::vector<std::uint64_t>(n, 1'000'000)});
+        balancer.observe(TimePoint(1'001s), 0, {2, std::vector<std::uint64_t>(n, 1)});
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), balancer.initialMap()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExpertBalancerTest);
