--- /dev/null
+++ b/src/address.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "verdict_type.h"
+
+#include <asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace turmericline {
+
+/** Splits "IP:PORT" (IPv6 in brackets). */
+Result<std::pair<std::string, std::uint16_t>> parseAddress(std::string_view text);
+
+/** Reads "IP:PORT" as an endpoint; nothing if it is malformed. */
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
+
+} // namespace turmericline
--- a/src/agent_settings.h
+++ b/src/agent_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peer_tls.h"
 #include "settings.h"
 
 namespace turmericline {
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -1,7 +1,6 @@
 #include "backend_pool.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace turmericline {
 
@@ -72,21 +71,4 @@
     m_servers.clear();
 }
 
-std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    asio::error_code ec;
-    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
-    std::uint16_t port = 0;
-    const auto digits = address.substr(colon + 1);
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (ec || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size() || port == 0) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(ip, port);
-}
-
 } // namespace turmericline
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "address.h"
 #include "backend_connection.h"
 #include "pool_type.h"
 
@@ -43,7 +44,4 @@
     std::uint64_t m_opened = 0;
 };
 
-/** Reads "IP:PORT"; nothing if it is malformed. */
-std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
-
 } // namespace turmericline
--- a/src/crash_probe.cpp
+++ b/src/crash_probe.cpp
@@ -1,5 +1,7 @@
 #include "crash_probe.h"
 
+#include "address.h"
+
 #include "h2_client.h"
 
 #include <asio/ip/address.hpp>
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -7,6 +7,7 @@
 
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
 
 namespace turmericline {
@@ -18,6 +19,13 @@
     ExitUsage = 2,
 };
 
+/** A daemon that takes changed settings while it runs. */
+template<typename Daemon, typename S>
+concept ReloadingDaemon = requires(Daemon daemon, std::function<SettingsParse<S>()> read)
+{
+    daemon.setReload(read);
+};
+
 /**
  * Main function of a daemon: checks the settings, then runs a Daemon until it stops. Prints one JSON line with the
  * ports on standard output once it listens.
@@ -29,11 +37,17 @@
               std::string S::*instanceName,
               Announce announce,
               int argc,
-              const char *const *argv)
+              const char *const *argv,
+              LogTarget logTarget = LogTarget::StandardError)
 {
-    auto parse = parseSettings(rows, argc, argv, [](const char *name) -> const char * {
-        return std::getenv(name);
-    });
+    const auto read = [&rows, check, argc, argv] {
+        auto fresh = parseSettings(rows, argc, argv, [](const char *name) -> const char * {
+            return std::getenv(name);
+        });
+        check(fresh);
+        return fresh;
+    };
+    const auto parse = read();
     if (parse.action == SettingsAction::Help) {
         printHelp(std::cout, program, settingsHelp(rows));
         return ExitOk;
@@ -42,7 +56,6 @@
         std::cout << program << " " << TURMERICLINE_VERSION << "\n";
         return ExitOk;
     }
-    check(parse);
     if (!parse.faults.empty()) {
         printFaults(std::cerr, parse.faults);
         return ExitUsage;
@@ -51,10 +64,15 @@
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    initLog(valueOf(logLevelNames, parse.settings.logLevel).value_or(LogLevel::Info), parse.settings.*instanceName);
+    initLog(valueOf(logLevelNames, parse.settings.logLevel).value_or(LogLevel::Info),
+            parse.settings.*instanceName,
+            logTarget);
     try {
         asio::io_context io(1);
         Daemon daemon(io, parse.settings);
+        if constexpr (ReloadingDaemon<Daemon, S>) {
+            daemon.setReload(read);
+        }
         std::cout << announce(daemon).dump() << std::endl;
         io.run();
         return ExitOk;
--- a/src/expert_agent_main.cpp
+++ b/src/expert_agent_main.cpp
@@ -30,5 +30,6 @@
             return nlohmann::json{{"peer_port", agent.port()}};
         },
         argc,
-        argv);
+        argv,
+        LogTarget::StandardOutput);
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds serverWatchPeriod{400};
 /** The platform takes two missed checks, a second apart, to send no more callers here. */
 constexpr std::chrono::milliseconds outOfRotationTime{2'500};
+constexpr std::chrono::milliseconds settingsCheckPeriod{1'000};
 /** Before the end of the grace time, for the last bytes. */
 constexpr std::chrono::milliseconds exitMargin{500};
 /** By then the platform sends callers elsewhere; later requests might not be finished within the grace time. */
@@ -45,6 +46,13 @@
     return *endpoint;
 }
 
+RetryWindowConfig retryConfig(const GatewaySettings &settings)
+{
+    return {settings.retryWindow,
+            static_cast<double>(settings.retryPercent) / 100,
+            static_cast<double>(settings.retryAllowance)};
+}
+
 StoreFeedConfig feedConfig(std::string prefix)
 {
     StoreFeedConfig config;
@@ -70,9 +78,7 @@
     , m_backends(settings.domain)
     , m_registry(m_dialect, m_backends)
     , m_pool(io)
-    , m_retryConfig{settings.retryWindow,
-                    static_cast<double>(settings.retryPercent) / 100,
-                    static_cast<double>(settings.retryAllowance)}
+    , m_retryConfig(retryConfig(settings))
     , m_configReader(
           io,
           m_dialect,
@@ -93,7 +99,7 @@
           m_random)
     , m_acceptor(io, endpointOf(settings.listen))
     , m_timer(io)
-    , m_signals(io, SIGTERM, SIGINT)
+    , m_signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     OpsHandlers handlers;
     handlers.readyPath = m_dialect.readyPath;
@@ -296,6 +302,7 @@
         it->tick(now);
     }
     m_pool.tick(now);
+    checkSettingsFile(now);
     for (const auto &it : m_callers) {
         it->tick(now);
     }
@@ -310,11 +317,16 @@
 
 void Gateway::waitForSignal()
 {
-    m_signals.async_wait([this](const asio::error_code &ec, int) {
-        if (!ec) {
+    m_signals.async_wait([this](const asio::error_code &ec, int number) {
+        if (ec) {
+            return;
+        }
+        if (number == SIGHUP) {
+            reload();
+        } else {
             onTerminate();
-            waitForSignal();
         }
+        waitForSignal();
     });
 }
 
@@ -330,6 +342,58 @@
     }
 }
 
+void Gateway::setReload(std::function<SettingsParse<GatewaySettings>()> read)
+{
+    m_readSettings = std::move(read);
+    m_settingsFile = m_readSettings().file;
+    std::error_code ec;
+    m_settingsTime = std::filesystem::last_write_time(m_settingsFile, ec);
+}
+
+/** The settings file may change without a signal. */
+void Gateway::checkSettingsFile(TimePoint now)
+{
+    if (m_settingsFile.empty() || now < m_settingsCheckAt) {
+        return;
+    }
+    m_settingsCheckAt = now + settingsCheckPeriod;
+    std::error_code ec;
+    const auto time = std::filesystem::last_write_time(m_settingsFile, ec);
+    if (!ec && time != m_settingsTime) {
+        m_settingsTime = time;
+        reload();
+    }
+}
+
+void Gateway::reload()
+{
+    if (!m_readSettings) {
+        return;
+    }
+    auto parse = m_readSettings();
+    if (!parse.faults.empty()) {
+        logEvent(LogLevel::Error,
+                 "settings rejected, those in force stay",
+                 {{"setting", parse.faults.front().name}, {"expected", parse.faults.front().allowed}});
+        return;
+    }
+    auto &next = parse.settings;
+    if (next.listen != m_settings.listen || next.ready != m_settings.ready || next.domain != m_settings.domain
+        || next.metrics != m_settings.metrics) {
+        logEvent(LogLevel::Warning, "addresses and the failure domain change only with a restart");
+    }
+    m_settings.revokeBound = next.revokeBound;
+    m_settings.grace = next.grace;
+    m_settings.maxConnections = next.maxConnections;
+    m_retryConfig = retryConfig(next);
+    if (next.store != m_settings.store) {
+        m_settings.store = next.store;
+        m_configReader.setAddress(next.store);
+        m_serverReader.setAddress(next.store);
+    }
+    logEvent(LogLevel::Info, "settings reloaded", {{"store", m_settings.store}});
+}
+
 void Gateway::advanceDrain(TimePoint now)
 {
     const auto age = now - *m_drainingSince;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -14,6 +14,8 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <filesystem>
+#include <functional>
 #include <list>
 #include <memory>
 #include <unordered_set>
@@ -30,6 +32,8 @@
     Gateway(asio::io_context &io, const GatewaySettings &settings, GatewayDialect dialect);
 
     std::uint16_t port() const;
+    /** Called on SIGHUP and when the settings file has changed; settings with faults change nothing. */
+    void setReload(std::function<SettingsParse<GatewaySettings>()> read);
 
 private:
     void accept();
@@ -43,6 +47,8 @@
     bool isReady() const;
     void waitForSignal();
     void onTerminate();
+    void checkSettingsFile(TimePoint now);
+    void reload();
     void advanceDrain(TimePoint now);
 
     asio::io_context &m_io;
@@ -66,6 +72,10 @@
     std::unique_ptr<OpsServer> m_readyServer;
     std::unique_ptr<OpsServer> m_opsServer;
     std::optional<TimePoint> m_drainingSince;
+    std::function<SettingsParse<GatewaySettings>()> m_readSettings;
+    std::filesystem::path m_settingsFile;
+    std::filesystem::file_time_type m_settingsTime{};
+    TimePoint m_settingsCheckAt{};
 };
 
 } // namespace turmericline
--- a/src/gateway_main.cpp
+++ b/src/gateway_main.cpp
@@ -29,5 +29,6 @@
             return nlohmann::json{{"port", gateway.port()}};
         },
         argc,
-        argv);
+        argv,
+        LogTarget::StandardOutput);
 }
--- a/src/h2_client.cpp
+++ b/src/h2_client.cpp
@@ -1,5 +1,7 @@
 #include "h2_client.h"
 
+#include "address.h"
+
 #include "h2_connection.h"
 
 #include <asio/ip/tcp.hpp>
@@ -457,26 +459,4 @@
     return m_impl->streams.size();
 }
 
-Result<std::pair<std::string, std::uint16_t>> parseAddress(std::string_view text)
-{
-    using Address = std::pair<std::string, std::uint16_t>;
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return Result<Address>::fail("expected IP:PORT");
-    }
-    auto host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    const auto port = text.substr(colon + 1);
-    std::uint16_t n = 0;
-    const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), n);
-    asio::error_code addressError;
-    asio::ip::make_address(std::string(host), addressError);
-    if (ec != std::errc() || end != port.data() + port.size() || addressError) {
-        return Result<Address>::fail("expected IP:PORT");
-    }
-    return Result<Address>::ok({std::string(host), n});
-}
-
 } // namespace turmericline
--- a/src/h2_client.h
+++ b/src/h2_client.h
@@ -53,7 +53,4 @@
     std::shared_ptr<Impl> m_impl;
 };
 
-/** Splits "IP:PORT" (IPv6 in brackets). */
-Result<std::pair<std::string, std::uint16_t>> parseAddress(std::string_view text);
-
 } // namespace turmericline
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -3,12 +3,18 @@
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <iostream>
 
@@ -21,6 +27,39 @@
 LogLevel minimumLevel = LogLevel::Info;
 std::string instanceName; // NOLINT(cert-err58-cpp)
 
+/** Writes each line with one call that never blocks; a line is dropped whole, and the next one tells how many were. */
+class LossyBackend : public bl::sinks::basic_formatted_sink_backend<char, bl::sinks::synchronized_feeding>
+{
+public:
+    void consume(const bl::record_view &, const string_type &text)
+    {
+        pollfd poller{STDOUT_FILENO, POLLOUT, 0};
+        const auto line
+            = (m_dropped > 0 ? R"({"message":"log lines dropped","count":)" + std::to_string(m_dropped) + "}\n"
+                             : std::string())
+              + text + "\n";
+        // A pipe that is ready takes at least PIPE_BUF bytes at once; longer lines are cut there.
+        const auto n = std::min<std::size_t>(line.size(), PIPE_BUF);
+        if (poll(&poller, 1, 0) != 1 || ::write(STDOUT_FILENO, line.data(), n) < 0) {
+            ++m_dropped;
+            return;
+        }
+        m_dropped = 0;
+    }
+
+private:
+    std::uint64_t m_dropped = 0;
+};
+
+template<typename Backend>
+void addSink(const boost::shared_ptr<Backend> &backend)
+{
+    auto sink = boost::make_shared<bl::sinks::synchronous_sink<Backend>>(backend);
+    sink->set_formatter(bl::expressions::stream << bl::expressions::smessage);
+    bl::core::get()->remove_all_sinks();
+    bl::core::get()->add_sink(sink);
+}
+
 std::string timestamp()
 {
     const auto now = std::chrono::system_clock::now();
@@ -36,18 +75,18 @@
 
 } // namespace
 
-void initLog(LogLevel minimum, std::string_view instance)
+void initLog(LogLevel minimum, std::string_view instance, LogTarget target)
 {
     minimumLevel = minimum;
     instanceName = instance;
-    using Sink = bl::sinks::synchronous_sink<bl::sinks::text_ostream_backend>;
+    if (target == LogTarget::StandardOutput) {
+        addSink(boost::make_shared<LossyBackend>());
+        return;
+    }
     auto backend = boost::make_shared<bl::sinks::text_ostream_backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
     backend->auto_flush(true);
-    auto sink = boost::make_shared<Sink>(backend);
-    sink->set_formatter(bl::expressions::stream << bl::expressions::smessage);
-    bl::core::get()->remove_all_sinks();
-    bl::core::get()->add_sink(sink);
+    addSink(backend);
 }
 
 void logEvent(LogLevel level, std::string_view message, const nlohmann::ordered_json &fields)
--- a/src/log.h
+++ b/src/log.h
@@ -22,8 +22,15 @@
     {LogLevel::Error, "error"},
 }};
 
-/** Sends JSON lines of at least @p minimum to standard error, each with the name of this instance. */
-void initLog(LogLevel minimum, std::string_view instance);
+/** Where log lines go. */
+enum class LogTarget {
+    StandardError,
+    /** Standard output; lines that it does not take at once are dropped and counted, so that logging never blocks. */
+    StandardOutput,
+};
+
+/** Sends JSON lines of at least @p minimum to @p target, each with the name of this instance. */
+void initLog(LogLevel minimum, std::string_view instance, LogTarget target = LogTarget::StandardError);
 
 /** Writes one JSON line with the time, level, message and @p fields. */
 void logEvent(LogLevel level,
--- a/src/peer_tls.cpp
+++ b/src/peer_tls.cpp
@@ -103,6 +103,11 @@
     return Result<PeerKey>::ok(std::move(key));
 }
 
+std::string checkPeerKey(const std::string &value)
+{
+    return parsePeerKey(value).reason;
+}
+
 std::vector<PeerKey> readPeerKeys(const std::vector<std::string> &texts)
 {
     std::vector<PeerKey> keys;
--- a/src/peer_tls.h
+++ b/src/peer_tls.h
@@ -20,6 +20,8 @@
 
 /** Reads "name:hex" with at least 16 bytes of secret. */
 Result<PeerKey> parsePeerKey(std::string_view text);
+/** Check of a setting that holds a key. */
+std::string checkPeerKey(const std::string &value);
 /** Reads texts that the check of the settings has accepted; others are left out. */
 std::vector<PeerKey> readPeerKeys(const std::vector<std::string> &texts);
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,8 +1,7 @@
 #include "settings.h"
 
-#include "h2_client.h"
+#include "address.h"
 #include "log.h"
-#include "peer_tls.h"
 
 #include <boost/program_options.hpp>
 
@@ -209,11 +208,6 @@
     return valid ? "" : "1 to 64 letters, digits, '-' or '_'";
 }
 
-std::string checkPeerKey(const std::string &value)
-{
-    return parsePeerKey(value).reason;
-}
-
 std::string checkUrl(const std::string &value)
 {
     return value.starts_with("http://") || value.starts_with("https://") ? ""
--- a/src/settings.h
+++ b/src/settings.h
@@ -47,7 +47,6 @@
 std::string checkIp(const std::string &value);
 std::string checkLogLevel(const std::string &value);
 std::string checkName(const std::string &value);
-std::string checkPeerKey(const std::string &value);
 std::string checkUrl(const std::string &value);
 
 namespace detail {
@@ -177,6 +176,7 @@
     const auto raw = readSettings(settingsHelp(rows), argc, argv, env);
     SettingsParse<S> parse;
     parse.action = raw.action;
+    parse.file = raw.file;
     parse.faults = raw.faults;
     for (const auto &row : rows) {
         const auto it = raw.values.find(row.name);
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -54,6 +54,7 @@
 struct SettingsParse
 {
     S settings;
+    std::string file; ///< That was read; empty for none.
     SettingsAction action = SettingsAction::Run;
     std::vector<SettingFault> faults;
 };
