--- a/src/backend_connection.cpp
+++ b/src/backend_connection.cpp
@@ -207,6 +207,10 @@
 void BackendConnection::stop()
 {
     m_handlers.reset();
+    // A reset drops what has not reached the server yet; after an orderly close, a server that was suspended would still
+    // receive a request that nobody waits for.
+    asio::error_code ec;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
     close();
 }
 
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -61,6 +61,19 @@
     });
 }
 
+void BackendPool::dropIdle(const std::string &server)
+{
+    const auto connections = m_servers.find(server);
+    if (connections == m_servers.end()) {
+        return;
+    }
+    for (const auto &it : connections->second) {
+        if (it->isIdle()) {
+            it->stop();
+        }
+    }
+}
+
 void BackendPool::stop()
 {
     for (auto &[server, connections] : m_servers) {
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -24,6 +24,8 @@
     std::shared_ptr<BackendConnection>
     take(TimePoint now, const std::string &server, const std::string &address, bool isFresh);
     void tick(TimePoint now);
+    /** Closes the idle connections to a server that fell silent: they are likely to be as dead as the one in use. */
+    void dropIdle(const std::string &server);
     /** Closes all connections. */
     void stop();
 
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -19,9 +19,9 @@
 constexpr std::chrono::milliseconds configPeriod{10'000};
 constexpr std::chrono::milliseconds ownCheckPeriod{1'000};
 /** A rank answers on its own machine within milliseconds, or not at all. */
-constexpr std::chrono::milliseconds rankTimeout{300};
+constexpr std::chrono::milliseconds rankTimeout{200};
 /** Of a call to another agent, which calls its rank up to three times. */
-constexpr std::chrono::milliseconds peerTimeout{700};
+constexpr std::chrono::milliseconds peerTimeout{450};
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
@@ -98,6 +98,7 @@
           settings.store,
           [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
               m_registry.apply(now, change, outage);
+              learnGroup();
           },
           m_random)
     , m_caller(io)
@@ -157,27 +158,40 @@
     }
 }
 
-const BackendRecord *ExpertAgent::ownServer() const
+/**
+ * Announcements lapse while their machine is suspended or the store is away. The last ones are kept until others take
+ * their place: a switch under way must go on, and a rank that is another one refuses orders by their epoch.
+ */
+void ExpertAgent::learnGroup()
 {
-    for (const auto &id : m_servers.ids()) {
+    const auto ids = m_servers.ids();
+    for (const auto &id : ids) {
         const auto &record = m_servers.find(id)->record;
         if (!record.group.empty() && ipOf(record.address) == m_ip) {
-            return &record;
+            if (m_own && (m_own->group != record.group || m_own->service != record.service)) {
+                m_agents.clear();
+            }
+            m_own = record;
         }
     }
-    return nullptr;
-}
-
-std::optional<std::string> ExpertAgent::agentOf(std::uint32_t rank) const
-{
-    const auto *own = ownServer();
-    for (const auto &id : m_servers.ids()) {
+    for (const auto &id : ids) {
         const auto &record = m_servers.find(id)->record;
-        if (own != nullptr && record.service == own->service && record.group == own->group && record.rank == rank) {
-            return std::string(ipOf(record.address)) + ":" + std::to_string(m_peerPort);
+        if (m_own && record.service == m_own->service && record.group == m_own->group) {
+            m_agents[record.rank] = std::string(ipOf(record.address)) + ":" + std::to_string(m_peerPort);
         }
     }
-    return std::nullopt;
+}
+
+const BackendRecord *ExpertAgent::ownServer() const
+{
+    return m_own ? &*m_own : nullptr;
+}
+
+/** Empty if it is not known; calls to it fail. */
+std::string ExpertAgent::agentOf(std::uint32_t rank) const
+{
+    const auto it = m_agents.find(rank);
+    return it == m_agents.end() ? "" : it->second;
 }
 
 void ExpertAgent::onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
@@ -311,9 +325,8 @@
 {
     GroupLink link;
     link.askNews = [this](std::uint32_t rank, bool withHeld, GroupLink::NewsHandler handler) {
-        // An agent that is not known gets an address that fails at once.
         m_caller.get(std::chrono::steady_clock::now(),
-                     agentOf(rank).value_or(""),
+                     agentOf(rank),
                      withHeld ? newsWithHeldTarget : newsTarget,
                      peerTimeout,
                      [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
@@ -324,7 +337,7 @@
     };
     link.sendOrder = [this](std::uint32_t rank, const RankOrder &order, GroupLink::OrderHandler handler) {
         m_caller.post(std::chrono::steady_clock::now(),
-                      agentOf(rank).value_or(""),
+                      agentOf(rank),
                       orderTarget,
                       packedType,
                       encodeRankOrder(order),
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -11,7 +11,10 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace turmericline {
 
@@ -35,8 +38,9 @@
     void readHeld(RankNews news, std::function<void(Result<RankNews>)> handler);
     void readNews(bool withHeld, std::function<void(Result<RankNews>)> handler);
     void passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder);
+    void learnGroup();
     const BackendRecord *ownServer() const;
-    std::optional<std::string> agentOf(std::uint32_t rank) const;
+    std::string agentOf(std::uint32_t rank) const;
     void coordinate(TimePoint now);
     GroupLink makeLink();
     void checkOwnRank(TimePoint now);
@@ -52,6 +56,8 @@
     BackendTable m_servers;
     BackendRegistry m_registry;
     std::unique_ptr<RoutingTable> m_table;
+    std::optional<BackendRecord> m_own; ///< Server on this machine, as last announced.
+    std::map<std::uint32_t, std::string> m_agents; ///< Addresses of the agents of the group by rank, as last announced.
     StoreReader m_configReader;
     StoreReader m_serverReader;
     HttpCaller m_caller;
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -142,6 +142,7 @@
             backend->detach(now());
         } else {
             backend->stop();
+            m_pool.dropIdle(m_exchange.summary().server);
         }
     }
 }
--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -46,6 +46,7 @@
     TimePoint now, const std::string &address, std::string message, std::chrono::milliseconds timeout, Handler handler)
 {
     auto call = std::make_shared<Call>();
+    call->address = address;
     call->handler = std::move(handler);
     call->endsAt = now + timeout;
     call->connection = m_pool.take(now, address, address, false);
@@ -87,6 +88,7 @@
     for (const auto &it : calls) {
         if (!it->isEnded && now >= it->endsAt) {
             it->connection->stop();
+            m_pool.dropIdle(it->address);
             end(*it, std::nullopt, "no answer in time");
         }
     }
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -48,6 +48,7 @@
 private:
     struct Call
     {
+        std::string address;
         std::shared_ptr<BackendConnection> connection;
         TimePoint endsAt{};
         HttpReply reply;
