Send orders without an answer again at once

An order that gets no answer was sent again after 200 ms at the earliest; all orders have the same effect twice as once, so there is no reason to wait. Agents wait 100 ms for their rank and 250 ms for each other.

--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -19,9 +19,9 @@
 constexpr std::chrono::milliseconds configPeriod{10'000};
 constexpr std::chrono::milliseconds ownCheckPeriod{1'000};
 /** A rank answers on its own machine within milliseconds, or not at all. */
-constexpr std::chrono::milliseconds rankTimeout{200};
+constexpr std::chrono::milliseconds rankTimeout{100};
 /** Of a call to another agent, which calls its rank up to three times. */
-constexpr std::chrono::milliseconds peerTimeout{450};
+constexpr std::chrono::milliseconds peerTimeout{250};
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
--- a/src/map_switch.cpp
+++ b/src/map_switch.cpp
@@ -168,6 +168,9 @@
 void MapSwitch::onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<bool> isAccepted)
 {
     auto &it = m_ranks[rank];
+    if (!isAccepted) {
+        it.sentAt = TimePoint::min(); // Every order may be repeated at once: it has the same effect twice as once.
+    }
     if (order.kind == RankOrderKind::Prepare) {
         it.isPreparing = isAccepted.value_or(false);
     } else if (order.kind == RankOrderKind::Arm) {
