--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -21,13 +21,11 @@
 constexpr std::chrono::milliseconds serverWatchWait{8'000};
 /** A server that leaves still serves for 2 s after its announcement. */
 constexpr std::chrono::milliseconds serverWatchPeriod{400};
-/** The platform takes two missed checks, a second apart, to send no more callers here. */
-constexpr std::chrono::milliseconds outOfRotationTime{2'500};
 constexpr std::chrono::milliseconds settingsCheckPeriod{1'000};
 /** Before the end of the grace time, for the last bytes. */
 constexpr std::chrono::milliseconds exitMargin{500};
-/** By then the platform sends callers elsewhere; later requests might not be finished within the grace time. */
-constexpr std::chrono::milliseconds newRequestTime{2'900};
+/** After the time of rotation, for requests on their way; later ones might not be finished within the grace time. */
+constexpr std::chrono::milliseconds lastRequestTime{400};
 /** Another instance can take the request at once. */
 constexpr std::chrono::milliseconds stoppingReturn{50};
 
@@ -134,6 +132,11 @@
     return m_acceptor.local_endpoint().port();
 }
 
+std::uint16_t Gateway::readyPort() const
+{
+    return m_readyServer->port();
+}
+
 void Gateway::accept()
 {
     m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
@@ -170,7 +173,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto caller = m_dialect.readCaller(head);
-    if (m_drainingSince && now - *m_drainingSince > newRequestTime) {
+    if (m_drainingSince && now - *m_drainingSince > m_settings.rotation + lastRequestTime) {
         refuse(*connection, caller, {503, "the instance is stopping", stoppingReturn});
         return;
     }
@@ -384,6 +387,7 @@
     }
     m_settings.revokeBound = next.revokeBound;
     m_settings.grace = next.grace;
+    m_settings.rotation = next.rotation;
     m_settings.maxConnections = next.maxConnections;
     m_retryConfig = retryConfig(next);
     if (next.store != m_settings.store) {
@@ -397,7 +401,7 @@
 void Gateway::advanceDrain(TimePoint now)
 {
     const auto age = now - *m_drainingSince;
-    if (age < outOfRotationTime) {
+    if (age < m_settings.rotation) {
         return;
     }
     for (const auto &it : m_callers) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -32,6 +32,7 @@
     Gateway(asio::io_context &io, const GatewaySettings &settings, GatewayDialect dialect);
 
     std::uint16_t port() const;
+    std::uint16_t readyPort() const;
     /** Called on SIGHUP and when the settings file has changed; settings with faults change nothing. */
     void setReload(std::function<SettingsParse<GatewaySettings>()> read);
 
--- a/src/gateway_main.cpp
+++ b/src/gateway_main.cpp
@@ -26,7 +26,7 @@
         [](SettingsParse<GatewaySettings> &) {},
         &GatewaySettings::name,
         [](const Gateway &gateway) {
-            return nlohmann::json{{"port", gateway.port()}};
+            return nlohmann::json{{"port", gateway.port()}, {"ready_port", gateway.readyPort()}};
         },
         argc,
         argv,
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -16,13 +16,14 @@
     std::string logLevel;
     std::chrono::milliseconds revokeBound{};
     std::chrono::milliseconds grace{};
+    std::chrono::milliseconds rotation{};
     std::chrono::milliseconds retryWindow{};
     std::uint64_t retryPercent = 0;
     std::uint64_t retryAllowance = 0;
     std::uint64_t maxConnections = 0;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 13> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 14> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
@@ -45,6 +46,13 @@
      500,
      600'000},
     {"grace-ms", &GatewaySettings::grace, "8000", "time from SIGTERM to the end of the process", false, 500, 600'000},
+    {"rotation-ms",
+     &GatewaySettings::rotation,
+     "2500",
+     "time that the platform needs to send callers elsewhere after SIGTERM",
+     false,
+     0,
+     600'000},
     {"retry-window-ms",
      &GatewaySettings::retryWindow,
      "10000",
--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -116,6 +116,11 @@
     return std::to_string(announcement().at(name).get<int>());
 }
 
+void ChildProcess::signal(int number) const
+{
+    ::kill(m_pid, number);
+}
+
 int ChildProcess::waitForExit()
 {
     while (m_openPipes > 0) {
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -20,6 +20,7 @@
     /** Waits for the JSON line that a daemon prints once it listens; discarded if it ends before. */
     const nlohmann::json &announcement();
     std::string port(const std::string &name = "port");
+    void signal(int number) const;
     /** Waits until the process ends by itself and returns its exit code, or -1 after a signal. */
     int waitForExit();
     const std::string &errors() const;
