--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -183,7 +183,7 @@
     actions.emplace_back(*m_head);
 }
 
-ExchangeActions Exchange::onBody(TimePoint now, std::string bytes)
+ExchangeActions Exchange::onBody(TimePoint now, std::string_view bytes)
 {
     ExchangeActions actions;
     if (m_isEnded || m_server.empty() || !m_head) {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -33,7 +33,7 @@
 
     ExchangeActions start(TimePoint now);
     ExchangeActions onHead(TimePoint now, const HttpHead &head, const AnswerFields &fields);
-    ExchangeActions onBody(TimePoint now, std::string bytes);
+    ExchangeActions onBody(TimePoint now, std::string_view bytes);
     /** The answer is complete as the protocol tells. */
     ExchangeActions onEnd(TimePoint now);
     ExchangeActions onFailure(TimePoint now, const AttemptFailure &failure);
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -89,9 +89,9 @@
     handlers.onHead = [self, attempt](HttpHead &head) {
         return attempt == self->m_attempt ? self->onHead(head) : HeadUse::Skip;
     };
-    handlers.onBody = [self, attempt](std::string bytes) {
+    handlers.onBody = [self, attempt](const std::string &bytes) {
         if (attempt == self->m_attempt) {
-            self->perform(self->m_exchange.onBody(now(), std::move(bytes)));
+            self->perform(self->m_exchange.onBody(now(), bytes));
         }
     };
     handlers.onEnd = [self, attempt] {
