Share the reading of configurations, of ranks and the gateway's own answers

Three pieces stood twice: taking the newest configuration out of a change of the store, asking the own rank, and sending an answer in the gateway's own name. Behaviour stays.

--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -1,6 +1,7 @@
 #include "expert_agent.h"
 
 #include "log.h"
+#include "store_config.h"
 
 #include <nlohmann/json.hpp>
 
@@ -143,18 +144,8 @@
 
 void ExpertAgent::onConfig(const StoreChange &change)
 {
-    for (const auto &it : change.items) {
-        if (it.key != m_dialect.configKey || it.isDeleted) {
-            continue;
-        }
-        auto config = m_dialect.readConfig(it.value);
-        if (!config) {
-            logEvent(LogLevel::Error, "configuration rejected, the one in force stays", {{"reason", config.reason}});
-            continue;
-        }
-        if (!m_table || config.value->version > m_table->config().version) {
-            m_table = std::make_unique<RoutingTable>(std::move(*config.value));
-        }
+    if (auto config = newerConfig(m_dialect, change, m_table ? m_table->config().version : 0)) {
+        m_table = std::make_unique<RoutingTable>(std::move(*config));
     }
 }
 
@@ -182,11 +173,6 @@
     }
 }
 
-const BackendRecord *ExpertAgent::ownServer() const
-{
-    return m_own ? &*m_own : nullptr;
-}
-
 /** Empty if it is not known; calls to it fail. */
 std::string ExpertAgent::agentOf(std::uint32_t rank) const
 {
@@ -222,92 +208,87 @@
     });
 }
 
-void ExpertAgent::readNews(bool withHeld, std::function<void(Result<RankNews>)> handler)
+template<typename T>
+void ExpertAgent::askRank(const std::string &target,
+                          const std::function<Result<T>(std::string_view)> &read,
+                          std::function<void(Result<T>)> handler)
 {
-    const auto *server = ownServer();
-    if (server == nullptr) {
-        handler(Result<RankNews>::fail("no backend server is known on this machine"));
+    if (!m_own) {
+        handler(Result<T>::fail("no backend server is known on this machine"));
         return;
     }
-    m_caller.get(std::chrono::steady_clock::now(),
-                 server->address,
-                 m_rankDialect.stateTarget,
-                 rankTimeout,
-                 [this, withHeld, handler = std::move(handler)](const std::optional<HttpReply> &reply,
-                                                                const std::string &reason) {
-                     auto state = reply && reply->status == statusOk ? m_rankDialect.readState(reply->body)
-                                                                     : Result<RankState>::fail(reason);
-                     if (!state) {
-                         handler(Result<RankNews>::fail(state.reason));
-                         return;
-                     }
-                     RankNews news;
-                     news.state = std::move(*state.value);
-                     readCounts(std::move(news), withHeld, handler);
-                 });
+    m_caller.get(
+        std::chrono::steady_clock::now(),
+        m_own->address,
+        target,
+        rankTimeout,
+        [read, handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
+            if (!reply) {
+                handler(Result<T>::fail(reason));
+            } else if (reply->status != statusOk) {
+                handler(Result<T>::fail("the rank answered with status " + std::to_string(reply->status)));
+            } else {
+                handler(read(reply->body));
+            }
+        });
 }
 
-void ExpertAgent::readCounts(RankNews news, bool withHeld, std::function<void(Result<RankNews>)> handler)
+void ExpertAgent::readNews(bool withHeld, NewsHandler handler)
 {
-    const auto *server = ownServer();
-    if (server == nullptr) {
-        handler(Result<RankNews>::fail("the backend server is gone"));
-        return;
-    }
-    m_caller.get(std::chrono::steady_clock::now(),
-                 server->address,
-                 m_rankDialect.countsTarget,
-                 rankTimeout,
-                 [this, withHeld, news = std::move(news), handler = std::move(handler)](
-                     const std::optional<HttpReply> &reply, const std::string &reason) mutable {
-                     auto counts = reply && reply->status == statusOk ? m_rankDialect.readCounts(reply->body)
-                                                                      : Result<RankCounts>::fail(reason);
-                     if (!counts) {
-                         handler(Result<RankNews>::fail(counts.reason));
-                         return;
-                     }
-                     news.counts = std::move(*counts.value);
-                     if (withHeld) {
-                         readHeld(std::move(news), handler);
-                     } else {
-                         handler(Result<RankNews>::ok(std::move(news)));
-                     }
-                 });
+    askRank<RankState>(m_rankDialect.stateTarget,
+                       m_rankDialect.readState,
+                       [this, withHeld, handler = std::move(handler)](Result<RankState> state) {
+                           if (!state) {
+                               handler(Result<RankNews>::fail(state.reason));
+                               return;
+                           }
+                           RankNews news;
+                           news.state = std::move(*state.value);
+                           readCounts(std::move(news), withHeld, handler);
+                       });
 }
 
-void ExpertAgent::readHeld(RankNews news, std::function<void(Result<RankNews>)> handler)
+void ExpertAgent::readCounts(RankNews news, bool withHeld, NewsHandler handler)
 {
-    const auto *server = ownServer();
-    if (server == nullptr) {
-        handler(Result<RankNews>::fail("the backend server is gone"));
-        return;
-    }
-    m_caller.get(std::chrono::steady_clock::now(),
-                 server->address,
-                 m_rankDialect.heldTarget,
-                 rankTimeout,
-                 [this, news = std::move(news), handler = std::move(handler)](const std::optional<HttpReply> &reply,
-                                                                              const std::string &reason) mutable {
-                     auto held = reply && reply->status == statusOk ? m_rankDialect.readHeld(reply->body)
-                                                                    : Result<HeldExperts>::fail(reason);
-                     if (!held) {
-                         handler(Result<RankNews>::fail(held.reason));
-                         return;
-                     }
-                     news.held = std::move(*held.value);
-                     handler(Result<RankNews>::ok(std::move(news)));
-                 });
+    askRank<RankCounts>(
+        m_rankDialect.countsTarget,
+        m_rankDialect.readCounts,
+        [this, withHeld, news = std::move(news), handler = std::move(handler)](Result<RankCounts> counts) mutable {
+            if (!counts) {
+                handler(Result<RankNews>::fail(counts.reason));
+                return;
+            }
+            news.counts = std::move(*counts.value);
+            if (withHeld) {
+                readHeld(std::move(news), handler);
+            } else {
+                handler(Result<RankNews>::ok(std::move(news)));
+            }
+        });
+}
+
+void ExpertAgent::readHeld(RankNews news, NewsHandler handler)
+{
+    askRank<HeldExperts>(m_rankDialect.heldTarget,
+                         m_rankDialect.readHeld,
+                         [news = std::move(news), handler = std::move(handler)](Result<HeldExperts> held) mutable {
+                             if (!held) {
+                                 handler(Result<RankNews>::fail(held.reason));
+                                 return;
+                             }
+                             news.held = std::move(*held.value);
+                             handler(Result<RankNews>::ok(std::move(news)));
+                         });
 }
 
 void ExpertAgent::passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder)
 {
-    const auto *server = ownServer();
-    if (server == nullptr) {
+    if (!m_own) {
         responder->reply(statusUnavailable, {}, "no backend server is known on this machine\n");
         return;
     }
     m_caller.post(std::chrono::steady_clock::now(),
-                  server->address,
+                  m_own->address,
                   m_rankDialect.orderTarget,
                   "application/json",
                   m_rankDialect.orderBody(order),
@@ -355,27 +336,19 @@
 
 void ExpertAgent::checkOwnRank(TimePoint now)
 {
-    const auto *server = ownServer();
-    if (server == nullptr || now < m_checkOwnAt) {
+    if (!m_own || now < m_checkOwnAt) {
         return;
     }
     m_checkOwnAt = now + ownCheckPeriod;
-    m_caller.get(now,
-                 server->address,
-                 m_rankDialect.stateTarget,
-                 rankTimeout,
-                 [this](const std::optional<HttpReply> &reply, const std::string &) {
-                     auto state = reply && reply->status == statusOk ? m_rankDialect.readState(reply->body)
-                                                                     : Result<RankState>::fail("");
-                     m_ownState = std::move(state.value);
-                 });
+    askRank<RankState>(m_rankDialect.stateTarget, m_rankDialect.readState, [this](Result<RankState> state) {
+        m_ownState = std::move(state.value);
+    });
 }
 
 void ExpertAgent::coordinate(TimePoint now)
 {
     checkOwnRank(now);
-    const auto *server = ownServer();
-    const auto *service = server == nullptr || !m_table ? nullptr : m_table->findService(server->service);
+    const auto *service = !m_own || !m_table ? nullptr : m_table->findService(m_own->service);
     const bool isCoordinator = service != nullptr && service->experts && m_ownState && m_ownState->rank == holdingRank;
     if (!isCoordinator) {
         // A rank that answers nothing for a moment is no reason to forget a switch under way.
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -30,16 +30,21 @@
     std::uint16_t port() const;
 
 private:
+    using NewsHandler = std::function<void(Result<RankNews>)>;
+
     void tick();
     void onConfig(const StoreChange &change);
     void onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void replyNews(bool withHeld, const std::shared_ptr<HttpResponder> &responder);
-    void readCounts(RankNews news, bool withHeld, std::function<void(Result<RankNews>)> handler);
-    void readHeld(RankNews news, std::function<void(Result<RankNews>)> handler);
-    void readNews(bool withHeld, std::function<void(Result<RankNews>)> handler);
+    template<typename T>
+    void askRank(const std::string &target,
+                 const std::function<Result<T>(std::string_view)> &read,
+                 std::function<void(Result<T>)> handler);
+    void readNews(bool withHeld, NewsHandler handler);
+    void readCounts(RankNews news, bool withHeld, NewsHandler handler);
+    void readHeld(RankNews news, NewsHandler handler);
     void passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder);
     void learnGroup();
-    const BackendRecord *ownServer() const;
     std::string agentOf(std::uint32_t rank) const;
     void coordinate(TimePoint now);
     GroupLink makeLink();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "log.h"
+#include "store_config.h"
 #include "verdict.h"
 
 #include <asio/post.hpp>
@@ -82,8 +83,8 @@
           m_dialect,
           feedConfig(m_dialect.configKey),
           settings.store,
-          [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds) {
-              onConfig(now, change);
+          [this](TimePoint, const StoreChange &change, std::chrono::milliseconds) {
+              onConfig(change);
           },
           m_random)
     , m_serverReader(
@@ -211,11 +212,7 @@
         // The caller's next connection reaches an instance that is in touch with the store, if there is one.
         connection.closeAfterAnswer();
     }
-    HttpHeaders headers;
-    if (reply.retryAfter) {
-        headers.emplace_back("Retry-After", retryAfterText(*reply.retryAfter));
-    }
-    connection.reply(reply.status, headers, reply.reason + "\n");
+    sendReply(connection, reply);
 }
 
 void Gateway::onCallEnd(const GatewayCall &call)
@@ -243,29 +240,20 @@
     });
 }
 
-void Gateway::onConfig(TimePoint, const StoreChange &change)
+void Gateway::onConfig(const StoreChange &change)
 {
-    for (const auto &it : change.items) {
-        if (it.key != m_dialect.configKey || it.isDeleted) {
-            continue;
-        }
-        auto config = m_dialect.readConfig(it.value);
-        if (!config) {
-            logEvent(LogLevel::Error, "configuration rejected, the one in force stays", {{"reason", config.reason}});
-            continue;
-        }
-        const auto inForce = m_table ? m_table->config().version : 0;
-        if (m_table && config.value->version <= inForce) {
-            continue;
-        }
-        logEvent(LogLevel::Info,
-                 "configuration in force",
-                 {{"version", config.value->version}, {"replaces", inForce}, {"routes", config.value->rules.size()}});
-        m_metrics.setConfigVersion(config.value->version);
-        m_table = std::make_shared<const RoutingTable>(std::move(*config.value));
-        for (const auto &caller : m_callers) {
-            caller->setLimits(m_table->config().limits);
-        }
+    const auto inForce = m_table ? m_table->config().version : 0;
+    auto config = newerConfig(m_dialect, change, inForce);
+    if (!config) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "configuration in force",
+             {{"version", config->version}, {"replaces", inForce}, {"routes", config->rules.size()}});
+    m_metrics.setConfigVersion(config->version);
+    m_table = std::make_shared<const RoutingTable>(std::move(*config));
+    for (const auto &caller : m_callers) {
+        caller->setLimits(m_table->config().limits);
     }
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -41,7 +41,7 @@
     void tick();
     void scheduleTick();
     void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body);
-    void onConfig(TimePoint now, const StoreChange &change);
+    void onConfig(const StoreChange &change);
     void refuse(CallerConnection &connection, const CallerFields &caller, const Reply &reply);
     void onCallEnd(const GatewayCall &call);
     ConfigProof configProof() const;
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -171,12 +171,17 @@
 }
 
 void GatewayCall::carryOut(const Reply &action)
+{
+    sendReply(*m_caller, action);
+}
+
+void sendReply(CallerConnection &caller, const Reply &reply)
 {
     HttpHeaders headers;
-    if (action.retryAfter) {
-        headers.emplace_back("Retry-After", retryAfterText(*action.retryAfter));
+    if (reply.retryAfter) {
+        headers.emplace_back("Retry-After", retryAfterText(*reply.retryAfter));
     }
-    m_caller->reply(action.status, headers, action.reason + "\n");
+    caller.reply(reply.status, headers, reply.reason + "\n");
 }
 
 } // namespace turmericline
--- a/src/gateway_call.h
+++ b/src/gateway_call.h
@@ -53,4 +53,7 @@
     bool m_hasReportedEnd = false;
 };
 
+/** Answers in the gateway's own name. */
+void sendReply(CallerConnection &caller, const Reply &reply);
+
 } // namespace turmericline
--- /dev/null
+++ b/src/store_config.cpp
@@ -0,0 +1,27 @@
+#include "store_config.h"
+
+#include "log.h"
+
+#include <algorithm>
+
+namespace turmericline {
+
+std::optional<RoutingConfig>
+newerConfig(const GatewayDialect &dialect, const StoreChange &change, std::uint64_t inForce)
+{
+    std::optional<RoutingConfig> newest;
+    for (const auto &it : change.items) {
+        if (it.key != dialect.configKey || it.isDeleted) {
+            continue;
+        }
+        auto config = dialect.readConfig(it.value);
+        if (!config) {
+            logEvent(LogLevel::Error, "configuration rejected, the one in force stays", {{"reason", config.reason}});
+        } else if (config.value->version > std::max(inForce, newest ? newest->version : 0)) {
+            newest = std::move(config.value);
+        }
+    }
+    return newest;
+}
+
+} // namespace turmericline
