--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -13,7 +13,7 @@
 
 StoreReader::StoreReader(asio::io_context &io,
                          const GatewayDialect &dialect,
-                         StoreFeedConfig config,
+                         const StoreFeedConfig &config,
                          std::string address,
                          ChangeHandler onChange,
                          std::mt19937_64 &random)
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -20,7 +20,7 @@
 
     StoreReader(asio::io_context &io,
                 const GatewayDialect &dialect,
-                StoreFeedConfig config,
+                const StoreFeedConfig &config,
                 std::string address,
                 ChangeHandler onChange,
                 std::mt19937_64 &random);
--- a/tests/fuzz_map_switch_test.cpp
+++ b/tests/fuzz_map_switch_test.cpp
@@ -46,7 +46,7 @@
     static std::string playSeeds(const GroupFaults &faults, std::uint64_t count)
     {
         for (std::uint64_t seed = 1; seed <= count; ++seed) {
-            if (const auto failure = play(faults, seed); !failure.empty()) {
+            if (auto failure = play(faults, seed); !failure.empty()) {
                 return failure;
             }
         }
