Accept connections again at the next tick after an error

Cause, found by reading: without free descriptors each failed accept was followed at once by another one, a loop that takes the whole processor and writes a log line each time.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -140,6 +140,7 @@
 
 void Gateway::accept()
 {
+    m_isAccepting = true;
     m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
         if (ec == asio::error::operation_aborted) {
             return;
@@ -147,9 +148,7 @@
         if (ec) {
             // Out of descriptors, for one: waiting connections are accepted at the next tick.
             logEvent(LogLevel::Warning, "connection not accepted", {{"reason", ec.message()}});
-            asio::post(m_io, [this] {
-                accept();
-            });
+            m_isAccepting = false;
             return;
         }
         if (m_callers.size() < m_settings.maxConnections) {
@@ -293,6 +292,9 @@
         it->tick(now);
     }
     m_pool.tick(now);
+    if (!m_isAccepting) {
+        accept();
+    }
     checkSettingsFile(now);
     for (const auto &it : m_callers) {
         it->tick(now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -72,6 +72,7 @@
     std::unordered_set<std::shared_ptr<GatewayCall>> m_calls;
     std::unique_ptr<OpsServer> m_readyServer;
     std::unique_ptr<OpsServer> m_opsServer;
+    bool m_isAccepting = false;
     std::optional<TimePoint> m_drainingSince;
     std::function<SettingsParse<GatewaySettings>()> m_readSettings;
     std::filesystem::path m_settingsFile;
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -68,7 +68,8 @@
 
 void GatewayCall::carryOut(StartAttempt &action)
 {
-    // The server may close an idle connection while a request is on its way; such a request must not run only once.
+    // The server may close an idle connection while a request is on its way. That request may have run, so one that
+    // must not run twice would be lost.
     const bool isFresh = !m_exchange.request().rule->isIdempotent();
     m_backend = m_pool.take(now(), action.server, action.address, isFresh);
     ++m_attempt;
