--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -102,7 +102,6 @@
     m_server = pick->id;
     m_attemptAt = now;
     m_lastBytesAt = now;
-    m_hasAttemptHead = false;
     m_body.clear();
     m_tried.push_back(pick->id);
     m_tables.backends.onStart(pick->id);
@@ -126,7 +125,6 @@
         return actions;
     }
     m_lastBytesAt = now;
-    m_hasAttemptHead = true;
     if (fields.load) {
         m_tables.backends.onLoad(now, m_server, *fields.load);
     }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -92,7 +92,6 @@
     TimePoint m_lastBytesAt{};
     std::optional<SendHead> m_head; ///< Of the first good answer.
     std::string m_body; ///< Of an answer that is not passed on yet.
-    bool m_hasAttemptHead = false;
     bool m_isCommitted = false; ///< The caller has the head.
     bool m_mayHaveRun = false;
     bool m_isEnded = false;
