Follow the demand for experts by blocks that agree, not by a decaying mean

Blocks of 100 ms differ from the mean of their time by 0.06 to 0.17 (total variation), across a change by 0.25 to 0.64. A decaying mean with a half-life of 250 ms is noisy in between, so maps were switched about once a second for nothing, and mixes both demands after a change, so the first map after it was wrong.

DemandEstimate averages blocks while they agree and starts anew with one that does not (distance 0.2).

The replay test compares the estimate with decaying means of four half-lives. The model of a group wants a lower skew now, since the better estimate found its maps good enough and the test of switches had no switch to check.

--- /dev/null
+++ b/src/demand_estimate.cpp
@@ -0,0 +1,53 @@
+#include "demand_estimate.h"
+
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace turmericline {
+
+namespace {
+
+/** Total variation distance of the distributions that two sets of choices are drawn from. */
+double distance(const ExpertLoads &a, double sumA, const ExpertLoads &b, double sumB)
+{
+    double sum = 0;
+    for (std::size_t n = 0; n < a.size(); ++n) {
+        sum += std::abs(a[n] / sumA - b[n] / sumB);
+    }
+    return sum / 2;
+}
+
+} // namespace
+
+DemandEstimate::DemandEstimate(const DemandEstimateConfig &config, std::size_t experts)
+    : m_config(config)
+    , m_loads(experts, 0.0)
+    , m_block(experts, 0.0)
+{
+}
+
+void DemandEstimate::update(TimePoint now)
+{
+    if (m_blockAt == TimePoint{}) {
+        m_blockAt = now;
+    }
+    const auto length = now - m_blockAt;
+    const double sum = std::accumulate(m_block.begin(), m_block.end(), 0.0);
+    if (length < m_config.blockTime || sum < m_config.blockCounts) {
+        return;
+    }
+    double factor
+        = std::exp2(-std::chrono::duration<double>(length) / std::chrono::duration<double>(m_config.halfLife));
+    if (m_sum > 0 && distance(m_loads, m_sum, m_block, sum) > m_config.shiftDistance) {
+        factor = 0;
+        ++m_shifts;
+    }
+    for (std::size_t n = 0; n < m_loads.size(); ++n) {
+        m_loads[n] = m_loads[n] * factor + std::exchange(m_block[n], 0.0);
+    }
+    m_sum = m_sum * factor + sum;
+    m_blockAt = now;
+}
+
+} // namespace turmericline
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tickPeriod{50};
+constexpr std::chrono::milliseconds tickPeriod{20};
 /** An agent needs its group and the agents of the others, which orders with an old epoch do no harm to. */
 constexpr std::chrono::milliseconds serverPeriod{2'000};
 /** The layout of experts changes with the model only. */
@@ -55,7 +55,8 @@
 ExpertBalancerConfig balancerConfig(const ExpertAgentSettings &settings)
 {
     ExpertBalancerConfig config;
-    config.halfLife = settings.demandHalfLife;
+    config.demand.halfLife = settings.demandHalfLife;
+    config.demand.shiftDistance = static_cast<double>(settings.demandShiftPercent) / 100;
     config.copiesPerSwitch = settings.copiesPerSwitch;
     config.goalSkew = static_cast<double>(settings.goalSkewPercent) / 100;
     config.smallestGain = static_cast<double>(settings.smallestGainPercent) / 100;
--- a/src/expert_agent_settings.h
+++ b/src/expert_agent_settings.h
@@ -14,12 +14,13 @@
     std::string store;
     std::string logLevel;
     std::chrono::milliseconds demandHalfLife{};
+    std::uint64_t demandShiftPercent = 0;
     std::uint64_t copiesPerSwitch = 0;
     std::uint64_t goalSkewPercent = 0;
     std::uint64_t smallestGainPercent = 0;
 };
 
-inline constexpr std::array<SettingRow<ExpertAgentSettings>, 10> expertAgentSettingRows{{
+inline constexpr std::array<SettingRow<ExpertAgentSettings>, 11> expertAgentSettingRows{{
     {"name", &ExpertAgentSettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &ExpertAgentSettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"peer",
@@ -35,11 +36,18 @@
     {"log-level", &ExpertAgentSettings::logLevel, "info", "debug, info, warning or error", false, 0, 0, checkLogLevel},
     {"demand-half-life-ms",
      &ExpertAgentSettings::demandHalfLife,
-     "1000",
-     "half-life of a count of experts",
+     "2000",
+     "half-life of a count of experts while the demand stays",
      false,
      50,
      600'000},
+    {"demand-shift-percent",
+     &ExpertAgentSettings::demandShiftPercent,
+     "20",
+     "part of the demand that must go to other experts for old counts to be dropped",
+     false,
+     1,
+     100},
     {"copies-per-switch",
      &ExpertAgentSettings::copiesPerSwitch,
      "6",
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -23,23 +23,16 @@
     : m_config(config)
     , m_layout(layout)
     , m_shape{ranks, layout.slots, layout.experts}
-    , m_loads(layout.layers, ExpertLoads(layout.experts, 0.0))
+    , m_demand(layout.layers, DemandEstimate(config.demand, layout.experts))
     , m_last(ranks)
 {
 }
 
-void ExpertBalancer::decay(TimePoint now)
+void ExpertBalancer::update(TimePoint now)
 {
-    if (m_decayedAt != TimePoint{}) {
-        const std::chrono::duration<double> age = now - m_decayedAt;
-        const double factor = std::exp2(-age / std::chrono::duration<double>(m_config.halfLife));
-        for (auto &layer : m_loads) {
-            for (auto &it : layer) {
-                it *= factor;
-            }
-        }
+    for (auto &it : m_demand) {
+        it.update(now);
     }
-    m_decayedAt = now;
 }
 
 void ExpertBalancer::observe(TimePoint now, std::uint32_t rank, const RankCounts &counts)
@@ -48,38 +41,32 @@
     if (rank >= m_last.size() || counts.counts.size() != n) {
         return;
     }
-    decay(now);
     auto &last = m_last[rank];
     if (last) {
         for (std::size_t it = 0; it < n; ++it) {
             // A rank that has restarted counts from zero.
             const auto before = counts.counts[it] >= last->counts[it] ? last->counts[it] : 0;
-            m_loads[it / m_layout.experts][it % m_layout.experts] += static_cast<double>(counts.counts[it] - before);
+            m_demand[it / m_layout.experts].add(static_cast<ExpertIndex>(it % m_layout.experts),
+                                                static_cast<double>(counts.counts[it] - before));
         }
     }
     last = counts;
-}
-
-double ExpertBalancer::demand() const
-{
-    return std::accumulate(m_loads.begin(), m_loads.end(), 0.0, [](double sum, const ExpertLoads &layer) {
-        return std::accumulate(layer.begin(), layer.end(), sum);
-    });
+    update(now);
 }
 
 double ExpertBalancer::skew(const LayerMaps &map) const
 {
     double sum = 0;
     for (std::size_t l = 0; l < map.size(); ++l) {
-        sum += skewOf(map[l], m_loads[l]);
+        sum += skewOf(map[l], m_demand[l].loads());
     }
     return sum / static_cast<double>(map.size());
 }
 
 ExpertLoads ExpertBalancer::shares(std::size_t layer) const
 {
-    auto loads = m_loads[layer];
-    const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+    auto loads = m_demand[layer].loads();
+    const double sum = m_demand[layer].sum();
     const double even = evenPart / static_cast<double>(loads.size());
     for (auto &it : loads) {
         it = it / sum * (1 - evenPart) + even;
@@ -131,8 +118,11 @@
 
 std::optional<MapProposal> ExpertBalancer::propose(TimePoint now, const LayerMaps &current)
 {
-    decay(now);
-    if (demand() < m_config.smallestDemand) {
+    update(now);
+    const bool isKnown = std::all_of(m_demand.begin(), m_demand.end(), [](const DemandEstimate &it) {
+        return it.sum() > 0;
+    });
+    if (!isKnown) {
         return std::nullopt;
     }
     MapProposal proposal{current, skew(current), 1, 0};
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "demand_estimate.h"
 #include "placement_search.h"
 #include "rank_type.h"
 #include "routing_type.h"
 #include "time_type.h"
 
-#include <chrono>
 #include <optional>
 #include <vector>
 
@@ -13,12 +13,11 @@
 
 struct ExpertBalancerConfig
 {
-    std::chrono::milliseconds halfLife{1'000}; ///< Of a count: the demand changes within seconds.
+    DemandEstimateConfig demand;
     double goalSkew = 1.25; ///< Copies beyond it are not worth their price.
     double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
     std::size_t copiesPerSwitch
         = 6; ///< Copies that a rank makes at most for one change of map: the time that it takes.
-    double smallestDemand = 20'000; ///< Counts without which the demand is not known well enough.
 };
 
 struct MapProposal
@@ -50,18 +49,16 @@
     double skew(const LayerMaps &map) const;
 
 private:
-    void decay(TimePoint now);
+    void update(TimePoint now);
     ExpertLoads shares(std::size_t layer) const;
     void improve(std::vector<MapSearch> &searches) const;
     std::vector<std::size_t> copiesLeft(const std::vector<MapSearch> &searches, const MapSearch &search) const;
-    double demand() const;
 
     ExpertBalancerConfig m_config;
     ExpertLayout m_layout;
     PlacementShape m_shape;
-    std::vector<ExpertLoads> m_loads; ///< Decayed counts by layer.
+    std::vector<DemandEstimate> m_demand; ///< By layer.
     std::vector<std::optional<RankCounts>> m_last; ///< By rank.
-    TimePoint m_decayedAt{};
 };
 
 } // namespace turmericline
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /** Between questions to each agent, for counts; faster while a switch waits for the states of the ranks. */
-constexpr std::chrono::milliseconds askPeriod{200};
-constexpr std::chrono::milliseconds switchAskPeriod{50};
+constexpr std::chrono::milliseconds askPeriod{50};
+constexpr std::chrono::milliseconds switchAskPeriod{20};
 constexpr std::chrono::milliseconds considerPeriod{100};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
--- a/src/map_switch.h
+++ b/src/map_switch.h
@@ -16,7 +16,7 @@
 {
     std::chrono::milliseconds resendTime{200}; ///< After which an order without effect is sent again.
     std::chrono::milliseconds prepareTimeout{8'000};
-    PassNumber leadPasses = 3; ///< Passes between the last one begun and the one that is held.
+    PassNumber leadPasses = 2; ///< Passes between the last one begun and the one that is held.
     /** An order without an answer may still be carried out for this long. */
     std::chrono::milliseconds lateOrderTime{13'000};
 };
--- a/tests/group_world.h
+++ b/tests/group_world.h
@@ -119,7 +119,8 @@
     {
         turmericline::ExpertLayout layout{1, 6, 4, 2};
         turmericline::ExpertBalancerConfig config;
-        config.smallestDemand = 10;
+        config.demand.blockCounts = 10;
+        config.goalSkew = 1.05; // New maps are wanted again and again.
         m_coordinator
             = std::make_unique<turmericline::GroupCoordinator>(config, layout, ranks, link(), m_coordinatorRandom);
     }
--- /dev/null
+++ b/tests/unit_demand_estimate_test.cpp
@@ -0,0 +1,168 @@
+#include "demand_estimate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t experts = 72;
+constexpr auto passTime = 80ms;
+constexpr auto stayTime = 3'200ms; ///< Time for which the demand stays.
+constexpr double passChoices = 30'000;
+/** Part of the choices of a pass that a single large request makes, for an expert of its own. */
+constexpr double noisePart = 0.05;
+
+/** Zipf-like demand over the experts in an order that is drawn anew every few seconds. */
+class ShiftingDemand
+{
+public:
+    ExpertLoads at(std::chrono::milliseconds at)
+    {
+        std::mt19937 random(static_cast<std::uint32_t>(at / stayTime) + 1);
+        std::vector<std::size_t> order(experts);
+        std::iota(order.begin(), order.end(), 0);
+        std::shuffle(order.begin(), order.end(), random);
+        ExpertLoads loads(experts);
+        double sum = 0;
+        for (std::size_t n = 0; n < experts; ++n) {
+            sum += loads[order[n]] = 1 / std::pow(static_cast<double>(n + 1), 1.2);
+        }
+        for (auto &it : loads) {
+            it /= sum;
+        }
+        return loads;
+    }
+
+    /** Choices of one pass. */
+    ExpertLoads pass(std::chrono::milliseconds time)
+    {
+        auto loads = at(time);
+        for (auto &it : loads) {
+            it *= passChoices * (1 - noisePart);
+        }
+        loads[std::uniform_int_distribution<std::size_t>(0, experts - 1)(m_random)] += passChoices * noisePart;
+        return loads;
+    }
+
+private:
+    std::mt19937 m_random{1};
+};
+
+/** Baseline: a decaying mean. */
+class DecayingDemand
+{
+public:
+    explicit DecayingDemand(std::chrono::milliseconds halfLife)
+        : m_factor(std::exp2(-std::chrono::duration<double>(passTime) / std::chrono::duration<double>(halfLife)))
+        , m_loads(experts, 0.0)
+    {
+    }
+
+    void add(const ExpertLoads &pass)
+    {
+        for (std::size_t n = 0; n < experts; ++n) {
+            m_loads[n] = m_loads[n] * m_factor + pass[n];
+        }
+    }
+
+    const ExpertLoads &loads() const
+    {
+        return m_loads;
+    }
+
+private:
+    double m_factor;
+    ExpertLoads m_loads;
+};
+
+/** Part of the demand that an estimate places on wrong experts. */
+double error(const ExpertLoads &estimate, const ExpertLoads &demand)
+{
+    const double sum = std::accumulate(estimate.begin(), estimate.end(), 0.0);
+    double wrong = 0;
+    for (std::size_t n = 0; n < experts; ++n) {
+        wrong += std::abs(estimate[n] / sum - demand[n]);
+    }
+    return wrong / 2;
+}
+
+void addPass(DemandEstimate &estimate, const ExpertLoads &pass)
+{
+    for (ExpertIndex n = 0; n < experts; ++n) {
+        estimate.add(n, pass[n]);
+    }
+}
+
+} // namespace
+
+/** Guards against maps that follow the demand of some time ago, or the noise of single requests. */
+class DemandEstimateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DemandEstimateTest);
+    CPPUNIT_TEST(isNearerThanADecayingMean);
+    CPPUNIT_TEST(noiseIsNoShift);
+    CPPUNIT_TEST(fewChoicesAreNoBlock);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr TimePoint start{1'000s};
+
+public:
+    /** Replays a minute of demand that shifts every 3.2 s, against decaying means of several half-lives. */
+    void isNearerThanADecayingMean()
+    {
+        for (const auto halfLife : {150ms, 250ms, 500ms, 1'000ms}) {
+            ShiftingDemand demand;
+            DemandEstimate estimate({}, experts);
+            DecayingDemand baseline(halfLife);
+            double wrong = 0;
+            double wrongBaseline = 0;
+            for (auto at = 0ms; at < 60s; at += passTime) {
+                const auto pass = demand.pass(at);
+                addPass(estimate, pass);
+                estimate.update(start + at);
+                baseline.add(pass);
+                if (at < 1s) {
+                    continue;
+                }
+                wrong += error(estimate.loads(), demand.at(at));
+                wrongBaseline += error(baseline.loads(), demand.at(at));
+            }
+            CPPUNIT_ASSERT(wrong < 0.7 * wrongBaseline);
+        }
+    }
+
+    void noiseIsNoShift()
+    {
+        ShiftingDemand demand;
+        DemandEstimate estimate({}, experts);
+        for (auto at = 0ms; at < stayTime; at += passTime) {
+            addPass(estimate, demand.pass(at));
+            estimate.update(start + at);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, estimate.shifts());
+        addPass(estimate, demand.pass(stayTime));
+        estimate.update(start + stayTime);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, estimate.shifts());
+    }
+
+    void fewChoicesAreNoBlock()
+    {
+        DemandEstimate estimate({}, experts);
+        estimate.add(3, 100);
+        estimate.update(start);
+        estimate.update(start + 1s);
+        CPPUNIT_ASSERT_EQUAL(0.0, estimate.sum());
+        estimate.add(3, 10'000);
+        estimate.update(start + 2s);
+        CPPUNIT_ASSERT_EQUAL(10'100.0, estimate.sum());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DemandEstimateTest);
--- a/tests/unit_expert_balancer_test.cpp
+++ b/tests/unit_expert_balancer_test.cpp
@@ -66,9 +66,7 @@
     /** Replays 30 s of demand: a map is in use 400 ms after it is proposed. */
     void followsChangingDemand()
     {
-        ExpertBalancerConfig config;
-        config.halfLife = 250ms;
-        ExpertBalancer balancer(config, layout, ranks);
+        ExpertBalancer balancer({}, layout, ranks);
         Demand demand;
         auto map = balancer.initialMap();
         const auto initial = map;
