--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -1,6 +1,7 @@
 #include "expert_agent.h"
 
 #include "log.h"
+#include "rank_codec.h"
 #include "store_config.h"
 
 #include <nlohmann/json.hpp>
@@ -21,15 +22,18 @@
 constexpr std::chrono::milliseconds ownCheckPeriod{1'000};
 /** A rank answers on its own machine within milliseconds, or not at all. */
 constexpr std::chrono::milliseconds rankTimeout{100};
-/** Of a call to another agent, which calls its rank up to three times. */
+/** Of a call to another agent about its own rank, which it calls up to three times. */
 constexpr std::chrono::milliseconds peerTimeout{250};
+/** Of a call to another agent about a block of ranks, which it asks in turn. */
+constexpr std::chrono::milliseconds blockTimeout{300};
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+constexpr int statusBadRequest = 400;
+constexpr int statusBaseUnknown = 428;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
-const std::string newsTarget = "/rank";
-const std::string newsWithHeldTarget = "/rank?held";
+const std::string newsTarget = "/ranks";
 const std::string orderTarget = "/rank/order";
 const std::string packedType = "application/msgpack";
 
@@ -63,6 +67,19 @@
     return config;
 }
 
+/** Nothing if the rank may still carry the order out. */
+std::optional<OrderAnswer> orderAnswer(const std::optional<HttpReply> &reply)
+{
+    if (!reply || reply->status == statusTimeout || reply->status == statusUnavailable) {
+        return std::nullopt;
+    }
+    if (reply->status == statusBaseUnknown) {
+        return OrderAnswer::BaseUnknown;
+    }
+    const bool isAccepted = reply->status == statusOk || reply->status == statusAccepted;
+    return isAccepted ? OrderAnswer::Accepted : OrderAnswer::Refused;
+}
+
 std::string_view ipOf(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -184,12 +201,18 @@
 void ExpertAgent::onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     if (request.method == "GET" && request.path == newsTarget) {
-        replyNews(!request.query.empty(), responder);
+        const auto question = decodeRankQuestion(request.query);
+        if (!question) {
+            logEvent(LogLevel::Warning, "question of another agent rejected", {{"reason", question.reason}});
+            responder->reply(statusBadRequest, {}, question.reason + "\n");
+            return;
+        }
+        replyNews(*question.value, responder);
     } else if (request.method == "POST" && request.path == orderTarget) {
         const auto order = decodeRankOrder(request.body);
         if (!order) {
             logEvent(LogLevel::Warning, "order of another agent rejected", {{"reason", order.reason}});
-            responder->reply(400, {}, order.reason + "\n");
+            responder->reply(statusBadRequest, {}, order.reason + "\n");
             return;
         }
         passOrder(*order.value, responder);
@@ -198,17 +221,68 @@
     }
 }
 
-void ExpertAgent::replyNews(bool withHeld, const std::shared_ptr<HttpResponder> &responder)
+void ExpertAgent::replyNews(const RankQuestion &question, const std::shared_ptr<HttpResponder> &responder)
 {
-    readNews(withHeld, [responder](const Result<RankNews> &news) {
+    collectNews(question, [responder](const Result<GroupNews> &news) {
         if (news) {
-            responder->reply(statusOk, {{"Content-Type", packedType}}, encodeRankNews(*news.value));
+            responder->reply(statusOk, {{"Content-Type", packedType}}, encodeGroupNews(*news.value));
         } else {
             responder->reply(statusUnavailable, {}, news.reason + "\n");
         }
     });
 }
 
+/** Asks the own rank and, for a block, the agents of the others. Those that do not answer are left out. */
+void ExpertAgent::collectNews(const RankQuestion &question, NewsHandler handler)
+{
+    struct Collection
+    {
+        GroupNews news;
+        std::uint32_t pending = 0;
+        std::string reason;
+        NewsHandler handler;
+    };
+    auto collection = std::make_shared<Collection>();
+    collection->pending = question.count;
+    collection->handler = std::move(handler);
+    const auto add = [collection](Result<GroupNews> news) {
+        if (news) {
+            merge(collection->news, std::move(*news.value));
+        } else {
+            collection->reason = news.reason;
+        }
+        if (--collection->pending == 0) {
+            collection->handler(collection->news.ranks.empty() ? Result<GroupNews>::fail(collection->reason)
+                                                               : Result<GroupNews>::ok(std::move(collection->news)));
+        }
+    };
+    readNews(question, add);
+    for (std::uint32_t n = 1; n < question.count; ++n) {
+        auto single = question;
+        single.first = question.first + n;
+        single.count = 1;
+        askAgent(single, peerTimeout, add);
+    }
+}
+
+void ExpertAgent::askAgent(const RankQuestion &question, std::chrono::milliseconds timeout, NewsHandler handler)
+{
+    m_caller.get(std::chrono::steady_clock::now(),
+                 agentOf(question.first),
+                 newsTarget + "?" + encodeRankQuestion(question),
+                 timeout,
+                 [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
+                     if (!reply) {
+                         handler(Result<GroupNews>::fail(reason));
+                     } else if (reply->status != statusOk) {
+                         handler(
+                             Result<GroupNews>::fail("an agent answered with status " + std::to_string(reply->status)));
+                     } else {
+                         handler(decodeGroupNews(reply->body));
+                     }
+                 });
+}
+
 template<typename T>
 void ExpertAgent::askRank(const std::string &target,
                           const std::function<Result<T>(std::string_view)> &read,
@@ -234,60 +308,72 @@
         });
 }
 
-void ExpertAgent::readNews(bool withHeld, NewsHandler handler)
+void ExpertAgent::readNews(const RankQuestion &question, NewsHandler handler)
 {
     askRank<RankState>(m_rankDialect.stateTarget,
                        m_rankDialect.readState,
-                       [this, withHeld, handler = std::move(handler)](Result<RankState> state) {
+                       [this, question, handler = std::move(handler)](Result<RankState> state) {
                            if (!state) {
-                               handler(Result<RankNews>::fail(state.reason));
+                               handler(Result<GroupNews>::fail(state.reason));
                                return;
                            }
-                           RankNews news;
-                           news.state = std::move(*state.value);
-                           readCounts(std::move(news), withHeld, handler);
+                           GroupNews news;
+                           news.ranks.push_back({std::move(*state.value), {}});
+                           if (question.withChoices) {
+                               readChoices(std::move(news), question, handler);
+                           } else {
+                               readHeld(std::move(news), question, handler);
+                           }
                        });
 }
 
-void ExpertAgent::readCounts(RankNews news, bool withHeld, NewsHandler handler)
+void ExpertAgent::readChoices(GroupNews news, const RankQuestion &question, NewsHandler handler)
 {
     askRank<RankCounts>(
         m_rankDialect.countsTarget,
         m_rankDialect.readCounts,
-        [this, withHeld, news = std::move(news), handler = std::move(handler)](Result<RankCounts> counts) mutable {
+        [this, question, news = std::move(news), handler = std::move(handler)](Result<RankCounts> counts) mutable {
             if (!counts) {
-                handler(Result<RankNews>::fail(counts.reason));
+                handler(Result<GroupNews>::fail(counts.reason));
                 return;
             }
-            news.counts = std::move(*counts.value);
-            if (withHeld) {
-                readHeld(std::move(news), handler);
-            } else {
-                handler(Result<RankNews>::ok(std::move(news)));
-            }
+            news.choices = m_choices.since(*counts.value);
+            readHeld(std::move(news), question, handler);
         });
 }
 
-void ExpertAgent::readHeld(RankNews news, NewsHandler handler)
+void ExpertAgent::readHeld(GroupNews news, const RankQuestion &question, NewsHandler handler)
 {
+    if (!question.withHeld) {
+        handler(Result<GroupNews>::ok(std::move(news)));
+        return;
+    }
     askRank<HeldExperts>(m_rankDialect.heldTarget,
                          m_rankDialect.readHeld,
                          [news = std::move(news), handler = std::move(handler)](Result<HeldExperts> held) mutable {
                              if (!held) {
-                                 handler(Result<RankNews>::fail(held.reason));
+                                 handler(Result<GroupNews>::fail(held.reason));
                                  return;
                              }
-                             news.held = std::move(*held.value);
-                             handler(Result<RankNews>::ok(std::move(news)));
+                             news.ranks.front().held = std::move(*held.value);
+                             handler(Result<GroupNews>::ok(std::move(news)));
                          });
 }
 
-void ExpertAgent::passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder)
+void ExpertAgent::passOrder(RankOrder order, const std::shared_ptr<HttpResponder> &responder)
 {
     if (!m_own) {
         responder->reply(statusUnavailable, {}, "no backend server is known on this machine\n");
         return;
     }
+    if (order.kind == RankOrderKind::Prepare) {
+        auto map = m_maps.mapOf(order);
+        if (!map) {
+            responder->reply(statusBaseUnknown, {}, "the map that changes is not known\n");
+            return;
+        }
+        order.map = std::move(*map);
+    }
     m_caller.post(std::chrono::steady_clock::now(),
                   m_own->address,
                   m_rankDialect.orderTarget,
@@ -306,16 +392,12 @@
 GroupLink ExpertAgent::makeLink()
 {
     GroupLink link;
-    link.askNews = [this](std::uint32_t rank, bool withHeld, GroupLink::NewsHandler handler) {
-        m_caller.get(std::chrono::steady_clock::now(),
-                     agentOf(rank),
-                     withHeld ? newsWithHeldTarget : newsTarget,
-                     peerTimeout,
-                     [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                         auto news = reply && reply->status == statusOk ? decodeRankNews(reply->body)
-                                                                        : Result<RankNews>::fail("");
-                         handler(std::move(news.value));
-                     });
+    link.askNews = [this](const RankQuestion &question, GroupLink::NewsHandler handler) {
+        askAgent(question,
+                 question.count > 1 ? blockTimeout : peerTimeout,
+                 [handler = std::move(handler)](Result<GroupNews> news) {
+                     handler(std::move(news.value));
+                 });
     };
     link.sendOrder = [this](std::uint32_t rank, const RankOrder &order, GroupLink::OrderHandler handler) {
         m_caller.post(std::chrono::steady_clock::now(),
@@ -325,11 +407,7 @@
                       encodeRankOrder(order),
                       peerTimeout,
                       [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                          const bool isAnswer
-                              = reply && reply->status != statusTimeout && reply->status != statusUnavailable;
-                          const bool isAccepted
-                              = isAnswer && (reply->status == statusOk || reply->status == statusAccepted);
-                          handler(isAnswer ? std::optional(isAccepted) : std::nullopt);
+                          handler(orderAnswer(reply));
                       });
     };
     return link;
@@ -346,10 +424,19 @@
     });
 }
 
+/** Map 0 follows from the layout of the experts and the size of the group. */
+void ExpertAgent::learnInitialMap(const RoutingService *service)
+{
+    if (service != nullptr && service->experts && m_ownState) {
+        m_maps.setInitial(service->experts->layers, service->experts->experts, m_ownState->size);
+    }
+}
+
 void ExpertAgent::coordinate(TimePoint now)
 {
     checkOwnRank(now);
     const auto *service = !m_own || !m_table ? nullptr : m_table->findService(m_own->service);
+    learnInitialMap(service);
     const bool isCoordinator = service != nullptr && service->experts && m_ownState && m_ownState->rank == holdingRank;
     if (!isCoordinator) {
         // A rank that answers nothing for a moment is no reason to forget a switch under way.
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -4,6 +4,9 @@
 #include "expert_agent_settings.h"
 #include "group_coordinator.h"
 #include "http_server.h"
+#include "map_delta.h"
+#include "rank_dialect.h"
+#include "rank_news.h"
 #include "routing_table.h"
 #include "store_reader.h"
 
@@ -30,22 +33,25 @@
     std::uint16_t port() const;
 
 private:
-    using NewsHandler = std::function<void(Result<RankNews>)>;
+    using NewsHandler = std::function<void(Result<GroupNews>)>;
 
     void tick();
     void onConfig(const StoreChange &change);
     void onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
-    void replyNews(bool withHeld, const std::shared_ptr<HttpResponder> &responder);
+    void replyNews(const RankQuestion &question, const std::shared_ptr<HttpResponder> &responder);
+    void collectNews(const RankQuestion &question, NewsHandler handler);
+    void askAgent(const RankQuestion &question, std::chrono::milliseconds timeout, NewsHandler handler);
     template<typename T>
     void askRank(const std::string &target,
                  const std::function<Result<T>(std::string_view)> &read,
                  std::function<void(Result<T>)> handler);
-    void readNews(bool withHeld, NewsHandler handler);
-    void readCounts(RankNews news, bool withHeld, NewsHandler handler);
-    void readHeld(RankNews news, NewsHandler handler);
-    void passOrder(const RankOrder &order, const std::shared_ptr<HttpResponder> &responder);
+    void readNews(const RankQuestion &question, NewsHandler handler);
+    void readChoices(GroupNews news, const RankQuestion &question, NewsHandler handler);
+    void readHeld(GroupNews news, const RankQuestion &question, NewsHandler handler);
+    void passOrder(RankOrder order, const std::shared_ptr<HttpResponder> &responder);
     void learnGroup();
     std::string agentOf(std::uint32_t rank) const;
+    void learnInitialMap(const RoutingService *service);
     void coordinate(TimePoint now);
     GroupLink makeLink();
     void checkOwnRank(TimePoint now);
@@ -69,6 +75,8 @@
     HttpServer m_peerServer;
     std::unique_ptr<GroupCoordinator> m_coordinator;
     std::optional<RankState> m_ownState;
+    ChoiceMeter m_choices; ///< Of the own rank.
+    MapCache m_maps;
     TimePoint m_checkOwnAt{};
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -24,7 +24,6 @@
     , m_layout(layout)
     , m_shape{ranks, layout.slots, layout.experts}
     , m_demand(layout.layers, DemandEstimate(config.demand, layout.experts))
-    , m_last(ranks)
 {
 }
 
@@ -35,22 +34,15 @@
     }
 }
 
-void ExpertBalancer::observe(TimePoint now, std::uint32_t rank, const RankCounts &counts)
+void ExpertBalancer::observe(TimePoint now, const ExpertChoices &choices)
 {
-    const std::size_t n = std::size_t{m_layout.layers} * m_layout.experts;
-    if (rank >= m_last.size() || counts.counts.size() != n) {
+    if (choices.size() != std::size_t{m_layout.layers} * m_layout.experts) {
         return;
     }
-    auto &last = m_last[rank];
-    if (last) {
-        for (std::size_t it = 0; it < n; ++it) {
-            // A rank that has restarted counts from zero.
-            const auto before = counts.counts[it] >= last->counts[it] ? last->counts[it] : 0;
-            m_demand[it / m_layout.experts].add(static_cast<ExpertIndex>(it % m_layout.experts),
-                                                static_cast<double>(counts.counts[it] - before));
-        }
+    for (std::size_t n = 0; n < choices.size(); ++n) {
+        m_demand[n / m_layout.experts].add(static_cast<ExpertIndex>(n % m_layout.experts),
+                                           static_cast<double>(choices[n]));
     }
-    last = counts;
     update(now);
 }
 
@@ -145,13 +137,4 @@
     return proposal;
 }
 
-LayerMaps ExpertBalancer::initialMap() const
-{
-    ExpertMap map(m_shape.ranks);
-    for (ExpertIndex e = 0; e < m_layout.experts; ++e) {
-        map[e % m_shape.ranks].push_back(e);
-    }
-    return LayerMaps(m_layout.layers, map);
-}
-
 } // namespace turmericline
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -39,13 +39,11 @@
 public:
     ExpertBalancer(const ExpertBalancerConfig &config, const ExpertLayout &layout, std::size_t ranks);
 
-    /** Takes the counts of one rank; the first ones of an epoch only set the start. */
-    void observe(TimePoint now, std::uint32_t rank, const RankCounts &counts);
+    /** Adds choices of some ranks; those for another number of experts are ignored. */
+    void observe(TimePoint now, const ExpertChoices &choices);
     /** A better map than @p current; nothing if none gains enough. */
     std::optional<MapProposal> propose(TimePoint now, const LayerMaps &current);
 
-    /** Map 0 of a new epoch: the experts are dealt to the ranks in turn. */
-    LayerMaps initialMap() const;
     double skew(const LayerMaps &map) const;
 
 private:
@@ -58,7 +56,6 @@
     ExpertLayout m_layout;
     PlacementShape m_shape;
     std::vector<DemandEstimate> m_demand; ///< By layer.
-    std::vector<std::optional<RankCounts>> m_last; ///< By rank.
 };
 
 } // namespace turmericline
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -3,6 +3,7 @@
 #include "log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericline {
 
@@ -10,10 +11,13 @@
 
 namespace {
 
-/** Between questions to each agent, for counts; faster while a switch waits for the states of the ranks. */
-constexpr std::chrono::milliseconds askPeriod{50};
+/** Between questions for counts: about one pass. */
+constexpr std::chrono::milliseconds choicesPeriod{100};
+/** Between questions for states while a switch waits for them. */
 constexpr std::chrono::milliseconds switchAskPeriod{20};
-constexpr std::chrono::milliseconds considerPeriod{100};
+constexpr std::chrono::milliseconds considerPeriod{20};
+/** For which the ranks of a block are asked one by one after it did not answer in full. */
+constexpr std::chrono::milliseconds directTime{1'000};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
 constexpr std::chrono::milliseconds abandonPause{1'000};
@@ -33,14 +37,22 @@
     , m_balancer(config, layout, ranks)
     , m_states(ranks)
 {
+    const auto width = std::min<std::uint32_t>(
+        maxRanksOfQuestion, static_cast<std::uint32_t>(std::ceil(std::sqrt(static_cast<double>(ranks)))));
+    for (std::uint32_t n = 0; n < ranks; n += width) {
+        m_blocks.push_back({n, std::min(width, static_cast<std::uint32_t>(ranks) - n)});
+    }
+    for (std::uint32_t n = 0; n < ranks; ++n) {
+        m_singles.push_back({n});
+    }
 }
 
 void GroupCoordinator::tick(TimePoint now)
 {
     m_now = now;
     if (now >= m_askAt) {
-        m_askAt = now + (m_switch ? switchAskPeriod : askPeriod);
-        ask();
+        m_askAt = now + (m_switch ? switchAskPeriod : choicesPeriod);
+        ask(now);
     }
     if (m_switch) {
         driveSwitch(now);
@@ -50,41 +62,76 @@
     }
 }
 
-void GroupCoordinator::ask()
+void GroupCoordinator::ask(TimePoint now)
 {
-    for (std::uint32_t n = 0; n < m_states.size(); ++n) {
-        if (m_states[n].isAsked) {
+    for (auto &block : m_blocks) {
+        if (now >= block.directUntil) {
+            ask(now, block);
             continue;
         }
-        m_states[n].isAsked = true;
-        m_link.askNews(n, m_needsHeld, [this, n, life = std::weak_ptr<int>(m_life)](std::optional<RankNews> news) {
-            if (!life.expired()) {
-                onNews(n, std::move(news));
-            }
-        });
+        for (std::uint32_t n = 0; n < block.count; ++n) {
+            ask(now, m_singles[block.first + n]);
+        }
     }
 }
 
-void GroupCoordinator::onNews(std::uint32_t rank, std::optional<RankNews> news)
+void GroupCoordinator::ask(TimePoint now, Inquiry &inquiry)
 {
-    const auto now = m_now;
-    auto &member = m_states[rank];
-    member.isAsked = false;
-    if (!news || news->state.rank != rank) {
+    if (inquiry.isAsked) {
         return;
     }
-    member.state = news->state;
-    member.at = now;
-    member.held = std::move(news->held);
-    member.isNew = true;
-    if (news->state.epoch > m_epoch) {
-        m_epoch = news->state.epoch;
-        m_mapNumber.reset();
+    inquiry.isAsked = true;
+    RankQuestion question;
+    question.first = inquiry.first;
+    question.count = inquiry.count;
+    question.withHeld = m_needsHeld;
+    question.withChoices = now >= inquiry.choicesAt;
+    if (question.withChoices) {
+        inquiry.choicesAt = now + choicesPeriod;
+    }
+    // The inquiries live as long as the coordinator and never move.
+    m_link.askNews(question,
+                   [this, &inquiry, question, life = std::weak_ptr<int>(m_life)](std::optional<GroupNews> news) {
+                       if (!life.expired()) {
+                           onNews(inquiry, question, std::move(news));
+                       }
+                   });
+}
+
+void GroupCoordinator::onNews(Inquiry &inquiry, const RankQuestion &question, std::optional<GroupNews> news)
+{
+    inquiry.isAsked = false;
+    if (!news || news->ranks.size() < question.count) {
+        inquiry.directUntil = m_now + directTime;
+    }
+    if (!news) {
+        return;
+    }
+    for (auto &it : news->ranks) {
+        learnRank(m_now, std::move(it));
+    }
+    if (!news->choices.empty()) {
+        m_balancer.observe(m_now, news->choices);
     }
-    m_balancer.observe(now, rank, news->counts);
     if (m_switch) {
-        driveSwitch(now);
+        driveSwitch(m_now);
+    }
+}
+
+void GroupCoordinator::learnRank(TimePoint now, RankNews news)
+{
+    if (news.state.rank >= m_states.size()) {
+        return;
+    }
+    if (news.state.epoch > m_epoch) {
+        m_epoch = news.state.epoch;
+        m_mapNumber.reset();
     }
+    auto &member = m_states[news.state.rank];
+    member.state = std::move(news.state);
+    member.at = now;
+    member.held = std::move(news.held);
+    member.isNew = true;
 }
 
 void GroupCoordinator::driveSwitch(TimePoint now)
@@ -106,11 +153,11 @@
         m_link.sendOrder(
             rank,
             order,
-            [this, n = rank, sent = order, life = std::weak_ptr<int>(m_life)](std::optional<bool> accepted) {
+            [this, n = rank, sent = order, life = std::weak_ptr<int>(m_life)](std::optional<OrderAnswer> answer) {
                 if (life.expired() || !m_switch || m_switch->version() != sent.version) {
                     return;
                 }
-                m_switch->onAnswer(m_now, n, sent, accepted);
+                m_switch->onAnswer(m_now, n, sent, answer);
                 driveSwitch(m_now);
             });
     }
@@ -161,7 +208,7 @@
         return false;
     }
     if (number == 0) {
-        m_map = m_balancer.initialMap();
+        m_map = initialMap(m_layout.layers, m_layout.experts, m_states.size());
         m_mapNumber = 0;
         return true;
     }
@@ -243,7 +290,9 @@
               {"moves", proposal->moves},
               {"skew_before", proposal->skewBefore},
               {"skew_after", proposal->skewAfter}});
-    m_switch.emplace(MapSwitchConfig{}, now, m_epoch, m_states.size(), number, std::move(proposal->map));
+    MapPlan plan{std::move(proposal->map), *m_mapNumber, {}};
+    plan.changes = changesBetween(m_map, plan.map);
+    m_switch.emplace(MapSwitchConfig{}, now, m_epoch, m_states.size(), number, std::move(plan));
     m_switchAt = now;
     for (auto &it : m_states) {
         it.isNew = false;
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -2,7 +2,7 @@
 
 #include "expert_balancer.h"
 #include "map_switch.h"
-#include "rank_codec.h"
+#include "rank_news.h"
 
 #include <functional>
 #include <memory>
@@ -16,16 +16,20 @@
 /** Ways to the agents of the ranks of a group. Handlers are never called from within a call. */
 struct GroupLink
 {
-    using NewsHandler = std::function<void(std::optional<RankNews> news)>;
-    using OrderHandler = std::function<void(std::optional<bool> isAccepted)>;
+    using NewsHandler = std::function<void(std::optional<GroupNews> news)>;
+    using OrderHandler = std::function<void(std::optional<OrderAnswer> answer)>;
 
-    std::function<void(std::uint32_t rank, bool withHeld, NewsHandler handler)> askNews;
+    std::function<void(const RankQuestion &question, NewsHandler handler)> askNews; ///< Of the first rank's agent.
     std::function<void(std::uint32_t rank, const RankOrder &order, OrderHandler handler)> sendOrder;
 };
 
 /**
  * Balances the experts of one group: collects counts, decides on a new map and switches to it. Runs beside the rank that
  * holds the group; the agents of the other ranks only answer. Keeps nothing that it cannot learn again from the ranks.
+ *
+ * Ranks are asked in blocks of about the square root of their number, through the agent of the first one, which adds up
+ * their counts: what the coordinator receives grows with the root of the group. A block whose agent fails is asked rank
+ * by rank for a while.
  */
 class GroupCoordinator
 {
@@ -52,12 +56,23 @@
         std::optional<RankState> state;
         TimePoint at{};
         HeldExperts held;
-        bool isAsked = false;
         bool isNew = false; ///< Not handed to the switch yet.
     };
 
-    void ask();
-    void onNews(std::uint32_t rank, std::optional<RankNews> news);
+    /** Ranks that are asked by one question. */
+    struct Inquiry
+    {
+        std::uint32_t first = 0;
+        std::uint32_t count = 1;
+        bool isAsked = false;
+        TimePoint choicesAt{}; ///< When counts are asked for again.
+        TimePoint directUntil{}; ///< Until then its ranks are asked one by one.
+    };
+
+    void ask(TimePoint now);
+    void ask(TimePoint now, Inquiry &inquiry);
+    void onNews(Inquiry &inquiry, const RankQuestion &question, std::optional<GroupNews> news);
+    void learnRank(TimePoint now, RankNews news);
     void driveSwitch(TimePoint now);
     void considerSwitch(TimePoint now);
     bool isSettled(TimePoint now) const;
@@ -71,6 +86,8 @@
     std::mt19937_64 &m_random;
     ExpertBalancer m_balancer;
     std::vector<Member> m_states; ///< By rank.
+    std::vector<Inquiry> m_blocks;
+    std::vector<Inquiry> m_singles; ///< By rank.
     std::optional<MapSwitch> m_switch;
     std::optional<MapNumber> m_mapNumber; ///< Of m_map; nothing if the map in use is not known.
     LayerMaps m_map;
--- /dev/null
+++ b/src/map_delta.cpp
@@ -0,0 +1,103 @@
+#include "map_delta.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace turmericline {
+
+namespace {
+
+/** The map in use, the one being prepared, and those of a switch that was abandoned. */
+constexpr std::size_t cachedMaps = 4;
+
+bool applyTo(LayerMaps &map, const std::vector<MapChange> &changes)
+{
+    for (const auto &it : changes) {
+        if (it.layer >= map.size() || it.rank >= map[it.layer].size()) {
+            return false;
+        }
+        map[it.layer][it.rank] = it.experts;
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<MapChange> changesBetween(const LayerMaps &base, const LayerMaps &map)
+{
+    std::vector<MapChange> changes;
+    for (std::uint32_t l = 0; l < map.size(); ++l) {
+        for (std::uint32_t r = 0; r < map[l].size(); ++r) {
+            if (map[l][r] != base[l][r]) {
+                changes.push_back({l, r, map[l][r]});
+            }
+        }
+    }
+    return changes;
+}
+
+std::uint64_t digestOf(const LayerMaps &map)
+{
+    std::vector<ExpertIndex> numbers;
+    for (const auto &layer : map) {
+        for (const auto &rank : layer) {
+            numbers.push_back(static_cast<ExpertIndex>(rank.size()));
+            numbers.insert(numbers.end(), rank.begin(), rank.end());
+        }
+    }
+    return XXH3_64bits(numbers.data(), numbers.size() * sizeof(ExpertIndex));
+}
+
+LayerMaps initialMap(std::size_t layers, std::size_t experts, std::size_t ranks)
+{
+    ExpertMap map(ranks);
+    for (ExpertIndex e = 0; e < experts; ++e) {
+        map[e % ranks].push_back(e);
+    }
+    return LayerMaps(layers, map);
+}
+
+void MapCache::setInitial(std::size_t layers, std::size_t experts, std::size_t ranks)
+{
+    const bool isSame
+        = m_initial.size() == layers && layers > 0 && m_initial.front().size() == ranks && m_initialExperts == experts;
+    if (!isSame && ranks > 0) {
+        m_initial = initialMap(layers, experts, ranks);
+        m_initialExperts = experts;
+    }
+}
+
+const LayerMaps *MapCache::find(std::uint64_t epoch, MapNumber version) const
+{
+    if (version == 0) {
+        return m_initial.empty() ? nullptr : &m_initial;
+    }
+    const auto it = std::find_if(m_entries.begin(), m_entries.end(), [epoch, version](const Entry &entry) {
+        return entry.epoch == epoch && entry.version == version;
+    });
+    return it == m_entries.end() ? nullptr : &it->map;
+}
+
+std::optional<LayerMaps> MapCache::mapOf(const RankOrder &order)
+{
+    auto map = order.map;
+    if (map.empty()) {
+        const auto *base = find(order.epoch, order.base);
+        if (base == nullptr) {
+            return std::nullopt;
+        }
+        map = *base;
+        // All ranks must get the same map: one that was put together from another base is never passed on.
+        if (!applyTo(map, order.changes) || digestOf(map) != order.digest) {
+            return std::nullopt;
+        }
+    }
+    if (find(order.epoch, order.version) == nullptr) {
+        m_entries.push_front({order.epoch, order.version, map});
+        m_entries.resize(std::min(m_entries.size(), cachedMaps));
+    }
+    return map;
+}
+
+} // namespace turmericline
--- a/src/map_switch.cpp
+++ b/src/map_switch.cpp
@@ -9,12 +9,12 @@
                      std::uint64_t epoch,
                      std::size_t ranks,
                      MapNumber version,
-                     LayerMaps map)
+                     MapPlan plan)
     : m_config(config)
     , m_startedAt(now)
     , m_epoch(epoch)
     , m_version(version)
-    , m_map(std::move(map))
+    , m_plan(std::move(plan))
     , m_ranks(ranks)
 {
 }
@@ -135,7 +135,13 @@
     order.version = m_version;
     order.pass = m_pass;
     if (kind == RankOrderKind::Prepare) {
-        order.map = m_map;
+        order.digest = digestOf(m_plan.map);
+        if (it.needsWhole) {
+            order.map = m_plan.map;
+        } else {
+            order.base = m_plan.base;
+            order.changes = m_plan.changes;
+        }
     }
     orders.emplace_back(rank, std::move(order));
 }
@@ -165,23 +171,29 @@
     return orders;
 }
 
-void MapSwitch::onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<bool> isAccepted)
+void MapSwitch::onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<OrderAnswer> answer)
 {
     auto &it = m_ranks[rank];
-    if (!isAccepted) {
+    if (answer == OrderAnswer::BaseUnknown) {
+        it.needsWhole = true;
+        it.sentAt = TimePoint::min();
+        return;
+    }
+    const bool isAccepted = answer == OrderAnswer::Accepted;
+    if (!answer) {
         it.sentAt = TimePoint::min(); // Every order may be repeated at once: it has the same effect twice as once.
     }
     if (order.kind == RankOrderKind::Prepare) {
-        it.isPreparing = isAccepted.value_or(false);
+        it.isPreparing = isAccepted;
     } else if (order.kind == RankOrderKind::Arm) {
-        if (!isAccepted) {
+        if (!answer) {
             m_lastOpenArm = now;
         } else if (m_phase == Phase::Arming) {
-            it.isArmed = *isAccepted || it.isArmed;
-            it.hasRefused = !*isAccepted;
+            it.isArmed = isAccepted || it.isArmed;
+            it.hasRefused = !isAccepted;
         }
-    } else if (order.kind == RankOrderKind::Hold && m_phase == Phase::Holding && order.pass == m_pass && isAccepted) {
-        m_isHeld = *isAccepted;
+    } else if (order.kind == RankOrderKind::Hold && m_phase == Phase::Holding && order.pass == m_pass && answer) {
+        m_isHeld = isAccepted;
     }
 }
 
--- a/src/map_switch.h
+++ b/src/map_switch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rank_type.h"
+#include "map_delta.h"
 #include "time_type.h"
 
 #include <chrono>
@@ -21,6 +21,14 @@
     std::chrono::milliseconds lateOrderTime{13'000};
 };
 
+/** A map to switch to, and how it comes out of the one in use. */
+struct MapPlan
+{
+    LayerMaps map;
+    MapNumber base = 0; ///< Map that changes.
+    std::vector<MapChange> changes;
+};
+
 /**
  * Takes one new map into use on all ranks of a group, in one pass.
  *
@@ -49,7 +57,7 @@
               std::uint64_t epoch,
               std::size_t ranks,
               MapNumber version,
-              LayerMaps map);
+              MapPlan plan);
     /** Goes on with a switch that another process left with a hold on pass @p held. */
     static MapSwitch resume(const MapSwitchConfig &config,
                             TimePoint now,
@@ -61,8 +69,8 @@
     /** Orders to send now, by rank. @p states: what each rank stated since the last call; nothing if it did not. */
     std::vector<std::pair<std::uint32_t, RankOrder>> poll(TimePoint now,
                                                           std::span<const std::optional<RankState>> states);
-    /** @p isAccepted: nothing if no answer came. */
-    void onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<bool> isAccepted);
+    /** @p answer: nothing if none came. */
+    void onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<OrderAnswer> answer);
 
     Phase phase() const
     {
@@ -81,7 +89,7 @@
 
     const LayerMaps &map() const
     {
-        return m_map;
+        return m_plan.map;
     }
 
     /** Why it was abandoned. */
@@ -95,6 +103,7 @@
     {
         bool isPrepared = false;
         bool isPreparing = false; ///< It accepted the order to prepare.
+        bool needsWhole = false; ///< Its agent does not know the map that changes.
         bool isArmed = false;
         bool isDisarmed = false;
         bool hasRefused = false; ///< The last answer to an order to arm was a refusal.
@@ -113,7 +122,7 @@
     TimePoint m_startedAt;
     std::uint64_t m_epoch;
     MapNumber m_version;
-    LayerMaps m_map;
+    MapPlan m_plan;
     std::vector<Rank> m_ranks;
     Phase m_phase = Phase::Preparing;
     PassNumber m_pass = 0; ///< The one that is held.
--- a/src/rank_codec.cpp
+++ b/src/rank_codec.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <charconv>
+
 namespace turmericline {
 
 namespace {
@@ -9,7 +12,7 @@
 using Json = nlohmann::json;
 
 /** Grows when a message changes its meaning; another number is refused. */
-constexpr int formatNumber = 1;
+constexpr int formatNumber = 2;
 
 Json optionalNumber(std::optional<std::uint64_t> n)
 {
@@ -27,6 +30,26 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/** Each change as layer, rank and experts. */
+Json packChanges(const std::vector<MapChange> &changes)
+{
+    auto json = Json::array();
+    for (const auto &it : changes) {
+        json.push_back({it.layer, it.rank, it.experts});
+    }
+    return json;
+}
+
+std::vector<MapChange> unpackChanges(const Json &json)
+{
+    std::vector<MapChange> changes;
+    for (const auto &it : json) {
+        changes.push_back(
+            {it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>(), it.at(2).get<std::vector<ExpertIndex>>()});
+    }
+    return changes;
+}
+
 template<typename T, typename Read>
 Result<T> unpack(std::string_view bytes, Read read)
 {
@@ -43,44 +66,49 @@
 
 } // namespace
 
-std::string encodeRankNews(const RankNews &news)
+std::string encodeGroupNews(const GroupNews &news)
 {
-    const auto &s = news.state;
-    return pack({{"format", formatNumber},
-                 {"group", s.group},
-                 {"epoch", s.epoch},
-                 {"rank", s.rank},
-                 {"size", s.size},
-                 {"open", s.isOpen},
-                 {"pass", s.pass},
-                 {"map", s.map},
-                 {"prepared", optionalNumber(s.prepared)},
-                 {"armed", optionalNumber(s.armed)},
-                 {"held_pass", optionalNumber(s.held)},
-                 {"counts_epoch", news.counts.epoch},
-                 {"counts", news.counts.counts},
-                 {"experts", news.held}});
+    // Arrays without names: a group of 63 ranks is asked many times a second over a narrow link.
+    auto ranks = Json::array();
+    for (const auto &[state, held] : news.ranks) {
+        ranks.push_back({state.group,
+                         state.epoch,
+                         state.rank,
+                         state.size,
+                         state.isOpen,
+                         state.pass,
+                         state.map,
+                         optionalNumber(state.prepared),
+                         optionalNumber(state.armed),
+                         optionalNumber(state.held),
+                         held});
+    }
+    return pack({{"format", formatNumber}, {"ranks", std::move(ranks)}, {"choices", news.choices}});
 }
 
-Result<RankNews> decodeRankNews(std::string_view bytes)
+Result<GroupNews> decodeGroupNews(std::string_view bytes)
 {
-    return unpack<RankNews>(bytes, [](const Json &json) {
-        RankNews news;
-        auto &s = news.state;
-        s.group = json.at("group").get<std::string>();
-        s.epoch = json.at("epoch").get<std::uint64_t>();
-        s.rank = json.at("rank").get<std::uint32_t>();
-        s.size = json.at("size").get<std::uint32_t>();
-        s.isOpen = json.at("open").get<bool>();
-        s.pass = json.at("pass").get<std::uint64_t>();
-        s.map = json.at("map").get<std::uint64_t>();
-        s.prepared = readOptional(json.at("prepared"));
-        s.armed = readOptional(json.at("armed"));
-        s.held = readOptional(json.at("held_pass"));
-        news.counts.epoch = json.at("counts_epoch").get<std::uint64_t>();
-        news.counts.counts = json.at("counts").get<std::vector<std::uint64_t>>();
-        news.held = json.at("experts").get<HeldExperts>();
-        return Result<RankNews>::ok(std::move(news));
+    return unpack<GroupNews>(bytes, [](const Json &json) {
+        GroupNews news;
+        for (const auto &it : json.at("ranks")) {
+            std::size_t n = 0;
+            RankNews rank;
+            auto &s = rank.state;
+            s.group = it.at(n++).get<std::string>();
+            s.epoch = it.at(n++).get<std::uint64_t>();
+            s.rank = it.at(n++).get<std::uint32_t>();
+            s.size = it.at(n++).get<std::uint32_t>();
+            s.isOpen = it.at(n++).get<bool>();
+            s.pass = it.at(n++).get<std::uint64_t>();
+            s.map = it.at(n++).get<std::uint64_t>();
+            s.prepared = readOptional(it.at(n++));
+            s.armed = readOptional(it.at(n++));
+            s.held = readOptional(it.at(n++));
+            rank.held = it.at(n++).get<HeldExperts>();
+            news.ranks.push_back(std::move(rank));
+        }
+        news.choices = json.at("choices").get<ExpertChoices>();
+        return Result<GroupNews>::ok(std::move(news));
     });
 }
 
@@ -91,7 +119,10 @@
                  {"epoch", order.epoch},
                  {"version", order.version},
                  {"pass", order.pass},
-                 {"map", order.map}});
+                 {"map", order.map},
+                 {"base", order.base},
+                 {"changes", packChanges(order.changes)},
+                 {"digest", order.digest}});
 }
 
 Result<RankOrder> decodeRankOrder(std::string_view bytes)
@@ -107,8 +138,55 @@
         order.version = json.at("version").get<std::uint64_t>();
         order.pass = json.at("pass").get<std::uint64_t>();
         order.map = json.at("map").get<LayerMaps>();
+        order.base = json.at("base").get<std::uint64_t>();
+        order.changes = unpackChanges(json.at("changes"));
+        order.digest = json.at("digest").get<std::uint64_t>();
         return Result<RankOrder>::ok(std::move(order));
     });
 }
 
+std::string encodeRankQuestion(const RankQuestion &question)
+{
+    auto text = "first=" + std::to_string(question.first) + "&count=" + std::to_string(question.count);
+    if (question.withChoices) {
+        text += "&choices=1";
+    }
+    if (question.withHeld) {
+        text += "&held=1";
+    }
+    return text;
+}
+
+Result<RankQuestion> decodeRankQuestion(std::string_view query)
+{
+    RankQuestion question;
+    while (!query.empty()) {
+        const auto part = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(part.size() + 1, query.size()));
+        const auto at = part.find('=');
+        const auto name = part.substr(0, at);
+        std::uint32_t n = 0;
+        const auto value = at == std::string_view::npos ? std::string_view() : part.substr(at + 1);
+        const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), n);
+        if (ec != std::errc() || end != value.data() + value.size()) {
+            return Result<RankQuestion>::fail("malformed number in the query");
+        }
+        if (name == "first") {
+            question.first = n;
+        } else if (name == "count") {
+            question.count = n;
+        } else if (name == "choices") {
+            question.withChoices = n != 0;
+        } else if (name == "held") {
+            question.withHeld = n != 0;
+        } else {
+            return Result<RankQuestion>::fail("unknown field in the query");
+        }
+    }
+    if (question.count == 0 || question.count > maxRanksOfQuestion) {
+        return Result<RankQuestion>::fail("count of ranks out of range");
+    }
+    return Result<RankQuestion>::ok(question);
+}
+
 } // namespace turmericline
--- a/src/rank_codec.h
+++ b/src/rank_codec.h
@@ -1,24 +1,20 @@
 #pragma once
 
-#include "rank_dialect.h"
+#include "rank_news.h"
+#include "verdict_type.h"
 
 #include <string>
 #include <string_view>
 
 namespace turmericline {
 
-/** What the agent of a rank tells the coordinator of its group. */
-struct RankNews
-{
-    RankState state;
-    RankCounts counts;
-    HeldExperts held; ///< Empty unless asked for.
-};
-
 /** Messages between expert agents: MessagePack with a format number. Decoding never throws. */
-std::string encodeRankNews(const RankNews &news);
-Result<RankNews> decodeRankNews(std::string_view bytes);
+std::string encodeGroupNews(const GroupNews &news);
+Result<GroupNews> decodeGroupNews(std::string_view bytes);
 std::string encodeRankOrder(const RankOrder &order);
 Result<RankOrder> decodeRankOrder(std::string_view bytes);
+/** As the query of a target. */
+std::string encodeRankQuestion(const RankQuestion &question);
+Result<RankQuestion> decodeRankQuestion(std::string_view query);
 
 } // namespace turmericline
--- a/src/rank_dialect.h
+++ b/src/rank_dialect.h
@@ -6,13 +6,9 @@
 #include <functional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace turmericline {
 
-/** Experts of one rank by layer. */
-using HeldExperts = std::vector<std::vector<ExpertIndex>>;
-
 /** Calls to a backend server that is a rank of a group. */
 struct RankDialect
 {
--- /dev/null
+++ b/src/rank_news.cpp
@@ -0,0 +1,38 @@
+#include "rank_news.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace turmericline {
+
+void merge(GroupNews &news, GroupNews more)
+{
+    std::move(more.ranks.begin(), more.ranks.end(), std::back_inserter(news.ranks));
+    if (news.choices.empty()) {
+        news.choices = std::move(more.choices);
+        return;
+    }
+    // Counts of another number of experts are those of another model and cannot be added.
+    const auto n = more.choices.size() == news.choices.size() ? news.choices.size() : 0;
+    for (std::size_t it = 0; it < n; ++it) {
+        news.choices[it] += more.choices[it];
+    }
+}
+
+ExpertChoices ChoiceMeter::since(const RankCounts &counts)
+{
+    const auto last = std::exchange(m_last, counts);
+    ExpertChoices choices(counts.counts.size(), 0);
+    if (!last || last->counts.size() != counts.counts.size()) {
+        return choices;
+    }
+    for (std::size_t n = 0; n < choices.size(); ++n) {
+        // A rank that has restarted counts from zero.
+        const auto before = counts.counts[n] >= last->counts[n] ? last->counts[n] : 0;
+        choices[n] = counts.counts[n] - before;
+    }
+    return choices;
+}
+
+} // namespace turmericline
--- a/src/rank_type.h
+++ b/src/rank_type.h
@@ -29,16 +29,32 @@
     std::optional<PassNumber> held; ///< Pass that the group does not begin.
 };
 
-/** How often the requests of a rank chose each expert since the rank started, layer by layer. */
+/** Experts of one rank by layer. */
+using HeldExperts = std::vector<std::vector<ExpertIndex>>;
+
+/** Choices by expert, layer by layer. */
+using ExpertChoices = std::vector<std::uint64_t>;
+
+/** How often the requests of a rank chose each expert since the rank started. */
 struct RankCounts
 {
     std::uint64_t epoch = 0;
-    std::vector<std::uint64_t> counts;
+    ExpertChoices counts;
 };
 
 /** Map of all layers: experts by layer and rank. */
 using LayerMaps = std::vector<ExpertMap>;
 
+/** Experts of one rank in one layer, where a map differs from an earlier one. */
+struct MapChange
+{
+    std::uint32_t layer = 0;
+    std::uint32_t rank = 0;
+    std::vector<ExpertIndex> experts;
+
+    bool operator==(const MapChange &) const = default;
+};
+
 enum class RankOrderKind {
     Prepare, ///< Copies the experts of a map.
     Arm, ///< Takes a prepared map into use as a pass begins.
@@ -62,7 +78,18 @@
     std::uint64_t epoch = 0;
     MapNumber version = 0;
     PassNumber pass = 0;
-    LayerMaps map; ///< Of Prepare.
+    // Of Prepare: a whole map, or what changes in the map that an earlier order of this epoch brought.
+    LayerMaps map;
+    MapNumber base = 0;
+    std::vector<MapChange> changes;
+    std::uint64_t digest = 0; ///< Of the whole map.
+};
+
+/** What came of an order. */
+enum class OrderAnswer {
+    Accepted,
+    Refused,
+    BaseUnknown, ///< The map that changes is not known there; nothing was done.
 };
 
 } // namespace turmericline
--- a/tests/fuzz_map_switch_test.cpp
+++ b/tests/fuzz_map_switch_test.cpp
@@ -62,6 +62,7 @@
         faults.coordinatorDies = 0.005;
         faults.rankRestarts = 0.0005;
         faults.agentCut = 0.003;
+        faults.agentRestarts = 0.003;
         faults.idle = 0.002;
         return faults;
     }
@@ -83,6 +84,7 @@
                                  &GroupFaults::coordinatorDies,
                                  &GroupFaults::rankRestarts,
                                  &GroupFaults::agentCut,
+                                 &GroupFaults::agentRestarts,
                                  &GroupFaults::idle}) {
             GroupFaults faults;
             faults.*fault = allFaults().*fault * 2;
--- a/tests/fuzz_platform_test.cpp
+++ b/tests/fuzz_platform_test.cpp
@@ -40,6 +40,19 @@
         = R"({"group":{"name":"g","epoch":3,"rank":5,"state":"open"},"size":12,"step":43,"map":4,
 "prepared":5,"armed":{"version":5,"step":50},"held":null})";
 
+    static RankOrder prepareOrder()
+    {
+        RankOrder order;
+        order.kind = RankOrderKind::Prepare;
+        order.epoch = 3;
+        order.version = 5;
+        order.map = {{{0}, {1, 2}}};
+        order.base = 4;
+        order.changes = {{0, 1, {2}}};
+        order.digest = 99;
+        return order;
+    }
+
     static HttpHead request(HttpHeaders headers)
     {
         HttpHead head;
@@ -138,7 +151,11 @@
         const auto state = ranks.readState(stateText);
         CPPUNIT_ASSERT(state.value->armed == 5U && state.value->prepared == 5U && !state.value->held);
         CPPUNIT_ASSERT_EQUAL(PassNumber{43}, state.value->pass);
-        RankOrder order{RankOrderKind::Arm, 3, 5, 50, {}};
+        RankOrder order;
+        order.kind = RankOrderKind::Arm;
+        order.epoch = 3;
+        order.version = 5;
+        order.pass = 50;
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"epoch":3,"op":"arm","step":50,"version":5})"), ranks.orderBody(order));
         order.kind = RankOrderKind::Prepare;
         order.map = {{{0, 2}, {1}}};
@@ -173,16 +190,22 @@
 
     void codecReturnsWhatWasSent()
     {
-        RankNews news;
-        news.state = *platformRankDialect().readState(stateText).value;
-        news.counts = {3, {1, 2, 300'000}};
-        news.held = {{0, 1}, {2}};
-        const auto back = decodeRankNews(encodeRankNews(news));
+        GroupNews news;
+        news.ranks.push_back({*platformRankDialect().readState(stateText).value, {{0, 1}, {2}}});
+        news.choices = {1, 2, 300'000};
+        const auto back = decodeGroupNews(encodeGroupNews(news));
         CPPUNIT_ASSERT_EQUAL(std::string(), back.reason);
-        CPPUNIT_ASSERT(back.value->counts.counts == news.counts.counts && back.value->held == news.held);
-        CPPUNIT_ASSERT(back.value->state.armed == 5U && !back.value->state.held);
-        const RankOrder order{RankOrderKind::Prepare, 3, 5, 0, {{{0}, {1, 2}}}};
-        CPPUNIT_ASSERT(decodeRankOrder(encodeRankOrder(order)).value->map == order.map);
+        const auto &rank = back.value->ranks.at(0);
+        CPPUNIT_ASSERT(back.value->choices == news.choices && rank.held == news.ranks[0].held);
+        CPPUNIT_ASSERT(rank.state.armed == 5U && !rank.state.held);
+        const auto order = *decodeRankOrder(encodeRankOrder(prepareOrder())).value;
+        CPPUNIT_ASSERT(order.map == prepareOrder().map && order.changes == prepareOrder().changes);
+        CPPUNIT_ASSERT(order.base == 4 && order.digest == 99);
+        const RankQuestion question{8, 7, true, false};
+        const auto asked = decodeRankQuestion(encodeRankQuestion(question));
+        CPPUNIT_ASSERT(asked && asked.value->first == 8 && asked.value->count == 7);
+        CPPUNIT_ASSERT(asked.value->withChoices && !asked.value->withHeld);
+        CPPUNIT_ASSERT(!decodeRankQuestion("first=1&count=0") && !decodeRankQuestion("first=x"));
     }
 
     /** Each cut or changed byte gives a value or a reason, never an exception. */
@@ -190,7 +213,7 @@
     {
         const auto failure = counterexample("malformed input is refused", fuzzParams(100, 2'000), [this] {
             const auto ranks = platformRankDialect();
-            const std::string packed = encodeRankOrder({RankOrderKind::Prepare, 3, 5, 0, {{{0}, {1, 2}}}});
+            const std::string packed = encodeRankOrder(prepareOrder());
             const std::string page = R"({"items":[{"key":"servers/a","value":"e30="}],"current_rev":1})";
             std::string text(*rc::gen::element(
                 std::string(configText), std::string(serverText), std::string(stateText), page, packed));
@@ -209,7 +232,7 @@
             RC_ASSERT(read.value.has_value() || !read.reason.empty());
             const auto order = decodeRankOrder(text);
             RC_ASSERT(order.value.has_value() || !order.reason.empty());
-            const auto news = decodeRankNews(text);
+            const auto news = decodeGroupNews(text);
             RC_ASSERT(news.value.has_value() || !news.reason.empty());
         });
         CPPUNIT_ASSERT_EQUAL(std::string(), failure);
--- a/tests/group_world.h
+++ b/tests/group_world.h
@@ -18,6 +18,7 @@
     double coordinatorDies = 0; ///< Per step.
     double rankRestarts = 0; ///< Per step; the group forms anew.
     double agentCut = 0; ///< Per step; one agent answers nothing for up to 3 s.
+    double agentRestarts = 0; ///< Per step; one agent forgets the maps that it was sent.
     double idle = 0; ///< Per step; the group makes no passes for up to 3 s.
     // Safeguards that are taken away, to show that the oracle sees what they prevent.
     bool holdsNothing = false; ///< Orders to hold are acknowledged without effect.
@@ -36,7 +37,12 @@
         , m_coordinatorRandom(seed + 1)
         , m_ranks(ranks)
         , m_cutUntil(ranks)
+        , m_caches(ranks)
+        , m_meters(ranks)
     {
+        for (auto &it : m_caches) {
+            it.setInitial(1, 6, ranks);
+        }
         startCoordinator();
     }
 
@@ -128,12 +134,16 @@
     turmericline::GroupLink link()
     {
         turmericline::GroupLink link;
-        link.askNews = [this](std::uint32_t rank, bool, turmericline::GroupLink::NewsHandler handler) {
-            const bool isCut = m_withFaults && m_now < m_cutUntil[rank];
-            later(upTo(20) + stepTime, [this, rank, isCut, handler = std::move(handler)] {
-                handler(isCut ? std::nullopt : std::optional(news(rank)));
-            });
-        };
+        link.askNews
+            = [this](const turmericline::RankQuestion &question, turmericline::GroupLink::NewsHandler handler) {
+                  std::vector<bool> isCut;
+                  for (std::uint32_t n = 0; n < question.count; ++n) {
+                      isCut.push_back(m_withFaults && m_now < m_cutUntil[question.first + n]);
+                  }
+                  later(upTo(20) + stepTime, [this, question, isCut, handler = std::move(handler)] {
+                      handler(isCut.front() ? std::nullopt : std::optional(news(question, isCut)));
+                  });
+              };
         link.sendOrder = [this](std::uint32_t rank,
                                 const turmericline::RankOrder &order,
                                 turmericline::GroupLink::OrderHandler handler) {
@@ -148,7 +158,7 @@
         const bool isClaimed = m_faults.claimsArmed && order.kind == turmericline::RankOrderKind::Arm;
         if ((m_withFaults && m_now < m_cutUntil[rank]) || happens(m_faults.lost)) {
             later(std::chrono::milliseconds(700), [handler = std::move(handler), isClaimed] {
-                handler(isClaimed ? std::optional(true) : std::nullopt);
+                handler(isClaimed ? std::optional(turmericline::OrderAnswer::Accepted) : std::nullopt);
             });
         } else if (happens(m_faults.late)) {
             later(std::chrono::seconds(2) + upTo(10'000), [this, rank, order] {
@@ -160,17 +170,30 @@
         } else {
             const bool isAnswerLost = happens(m_faults.lostAnswer);
             later(upTo(20) + stepTime, [this, rank, order, isAnswerLost, handler = std::move(handler)] {
-                const bool isAccepted = execute(rank, order);
+                const auto answer = execute(rank, order);
                 later(isAnswerLost ? std::chrono::milliseconds(700) : upTo(10) + stepTime,
-                      [isAccepted, isAnswerLost, handler] {
-                          handler(isAnswerLost ? std::nullopt : std::optional(isAccepted));
+                      [answer, isAnswerLost, handler] {
+                          handler(isAnswerLost ? std::nullopt : std::optional(answer));
                       });
             });
         }
     }
 
+    /** The agent of a rank passes an order on to it. */
+    turmericline::OrderAnswer execute(std::uint32_t n, turmericline::RankOrder order)
+    {
+        if (order.kind == turmericline::RankOrderKind::Prepare) {
+            auto map = m_caches[n].mapOf(order);
+            if (!map) {
+                return turmericline::OrderAnswer::BaseUnknown;
+            }
+            order.map = std::move(*map);
+        }
+        return accepts(n, order) ? turmericline::OrderAnswer::Accepted : turmericline::OrderAnswer::Refused;
+    }
+
     /** The rules of a rank for an order. */
-    bool execute(std::uint32_t n, const turmericline::RankOrder &order)
+    bool accepts(std::uint32_t n, const turmericline::RankOrder &order)
     {
         using Kind = turmericline::RankOrderKind;
         auto &rank = m_ranks[n];
@@ -228,6 +251,24 @@
         return false;
     }
 
+    turmericline::GroupNews news(const turmericline::RankQuestion &question, const std::vector<bool> &isCut)
+    {
+        turmericline::GroupNews all;
+        for (std::uint32_t n = 0; n < question.count; ++n) {
+            if (isCut[n]) {
+                continue;
+            }
+            const auto rank = question.first + n;
+            turmericline::GroupNews one;
+            one.ranks.push_back(news(rank));
+            if (question.withChoices) {
+                one.choices = m_meters[rank].since({m_epoch, m_ranks[rank].counts});
+            }
+            merge(all, std::move(one));
+        }
+        return all;
+    }
+
     turmericline::RankNews news(std::uint32_t n) const
     {
         const auto &rank = m_ranks[n];
@@ -249,7 +290,6 @@
         if (rank.claimed > m_pass) {
             it.state.held = rank.claimed;
         }
-        it.counts = {m_epoch, rank.counts};
         if (!rank.map.content.empty()) {
             it.held = {rank.map.content[0][n]};
         }
@@ -336,6 +376,11 @@
         if (happens(m_faults.agentCut)) {
             m_cutUntil[m_random() % ranks] = m_now + upTo(3'000);
         }
+        if (happens(m_faults.agentRestarts)) {
+            const auto n = m_random() % ranks;
+            m_caches[n] = {};
+            m_meters[n] = {};
+        }
         if (happens(m_faults.idle)) {
             m_busyAt = m_now + upTo(3'000);
         }
@@ -346,6 +391,8 @@
     std::mt19937_64 m_coordinatorRandom;
     std::vector<Rank> m_ranks;
     std::vector<Clock> m_cutUntil;
+    std::vector<turmericline::MapCache> m_caches; ///< Of the agents, by rank.
+    std::vector<turmericline::ChoiceMeter> m_meters;
     std::unique_ptr<turmericline::GroupCoordinator> m_coordinator;
     std::vector<Timed> m_timed;
     Clock m_now{std::chrono::seconds(1'000)};
--- a/tests/unit_expert_balancer_test.cpp
+++ b/tests/unit_expert_balancer_test.cpp
@@ -1,4 +1,5 @@
 #include "expert_balancer.h"
+#include "map_delta.h"
 
 #include "placement.h"
 
@@ -20,26 +21,26 @@
 {
 public:
     Demand()
-        : m_total(std::size_t{layout.layers} * layout.experts, 0)
+        : m_choices(std::size_t{layout.layers} * layout.experts, 0)
     {
     }
 
-    /** Counts of one rank after @p at, which grow from call to call. */
-    RankCounts after(std::chrono::milliseconds at)
+    /** Choices of all ranks in the time up to @p at. */
+    ExpertChoices after(std::chrono::milliseconds at)
     {
         std::mt19937 random(static_cast<std::uint32_t>(at / 3'000ms));
-        std::vector<double> weights(m_total.size());
+        std::vector<double> weights(m_choices.size());
         for (auto &it : weights) {
             it = 1 / std::pow(std::uniform_real_distribution<double>(0.02, 1.0)(random), 1.3);
         }
-        for (std::size_t n = 0; n < m_total.size(); ++n) {
-            m_total[n] += static_cast<std::uint64_t>(100 * weights[n]);
+        for (std::size_t n = 0; n < m_choices.size(); ++n) {
+            m_choices[n] = static_cast<std::uint64_t>(100 * ranks * weights[n]);
         }
-        return {1, m_total};
+        return m_choices;
     }
 
 private:
-    std::vector<std::uint64_t> m_total;
+    ExpertChoices m_choices;
 };
 
 } // namespace
@@ -52,30 +53,23 @@
     CPPUNIT_TEST(keepsTheLimitsOfRanks);
     CPPUNIT_TEST(proposesNothingWithoutDemand);
     CPPUNIT_TEST(proposesNothingWhenGoodEnough);
-    CPPUNIT_TEST(restartedRankCountsFromZero);
+    CPPUNIT_TEST(ignoresCountsOfAnotherModel);
     CPPUNIT_TEST_SUITE_END();
 
-    static void observeAll(ExpertBalancer &balancer, TimePoint now, const RankCounts &counts)
-    {
-        for (std::uint32_t r = 0; r < ranks; ++r) {
-            balancer.observe(now, r, counts);
-        }
-    }
-
 public:
     /** Replays 30 s of demand: a map is in use 400 ms after it is proposed. */
     void followsChangingDemand()
     {
         ExpertBalancer balancer({}, layout, ranks);
         Demand demand;
-        auto map = balancer.initialMap();
+        auto map = initialMap(layout.layers, layout.experts, ranks);
         const auto initial = map;
         double balanced = 0;
         double fixed = 0;
         int windows = 0;
         for (auto at = 0ms; at < 30s; at += 200ms) {
             const TimePoint now = TimePoint(1'000s) + at;
-            observeAll(balancer, now, demand.after(at));
+            balancer.observe(now, demand.after(at));
             if (at < 1s) {
                 continue;
             }
@@ -98,11 +92,11 @@
         config.goalSkew = 1.0;
         ExpertBalancer balancer(config, layout, ranks);
         Demand demand;
-        auto map = balancer.initialMap();
+        auto map = initialMap(layout.layers, layout.experts, ranks);
         int proposals = 0;
         for (auto at = 0ms; at < 20s; at += 500ms) {
             const TimePoint now = TimePoint(1'000s) + at;
-            observeAll(balancer, now, demand.after(at));
+            balancer.observe(now, demand.after(at));
             const auto proposal = balancer.propose(now, map);
             if (!proposal) {
                 continue;
@@ -135,29 +129,26 @@
     void proposesNothingWithoutDemand()
     {
         ExpertBalancer balancer({}, layout, ranks);
-        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'000s), balancer.initialMap()));
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'000s), initialMap(layout.layers, layout.experts, ranks)));
     }
 
     void proposesNothingWhenGoodEnough()
     {
         ExpertBalancer balancer({}, layout, ranks);
-        RankCounts even{1, std::vector<std::uint64_t>(std::size_t{layout.layers} * layout.experts, 0)};
-        observeAll(balancer, TimePoint(1'000s), even);
-        for (auto &it : even.counts) {
-            it += 1'000;
-        }
-        observeAll(balancer, TimePoint(1'001s), even);
-        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), balancer.initialMap()));
+        const ExpertChoices even(std::size_t{layout.layers} * layout.experts, 1'000);
+        balancer.observe(TimePoint(1'000s), even);
+        balancer.observe(TimePoint(1'001s), even);
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), initialMap(layout.layers, layout.experts, ranks)));
     }
 
-    /** Counts that fall must not be taken as a huge demand. */
-    void restartedRankCountsFromZero()
+    /** Counts of another model must not be mixed in. */
+    void ignoresCountsOfAnotherModel()
     {
         ExpertBalancer balancer({}, layout, ranks);
-        const std::size_t n = std::size_t{layout.layers} * layout.experts;
-        balancer.observe(TimePoint(1'000s), 0, {1, std::vector<std::uint64_t>(n, 1'000'000)});
-        balancer.observe(TimePoint(1'001s), 0, {2, std::vector<std::uint64_t>(n, 1)});
-        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), balancer.initialMap()));
+        const ExpertChoices other(std::size_t{layout.layers} * layout.experts + 1, 1'000'000);
+        balancer.observe(TimePoint(1'000s), other);
+        balancer.observe(TimePoint(1'001s), other);
+        CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), initialMap(layout.layers, layout.experts, ranks)));
     }
 };
 
--- /dev/null
+++ b/tests/unit_rank_news_test.cpp
@@ -0,0 +1,107 @@
+#include "map_delta.h"
+#include "rank_news.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+
+/** Guards against counts and maps that are put together wrongly from what other agents sent. */
+class RankNewsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RankNewsTest);
+    CPPUNIT_TEST(firstReadingSetsTheStart);
+    CPPUNIT_TEST(restartedRankCountsFromZero);
+    CPPUNIT_TEST(addsUpTheChoicesOfABlock);
+    CPPUNIT_TEST(changesGiveTheWholeMap);
+    CPPUNIT_TEST(otherBaseIsRefused);
+    CPPUNIT_TEST(wholeMapNeedsNoBase);
+    CPPUNIT_TEST(numbersOfAnotherEpochAreUnknown);
+    CPPUNIT_TEST_SUITE_END();
+
+    static RankOrder prepare(MapNumber version, MapNumber base, const LayerMaps &from, const LayerMaps &to)
+    {
+        RankOrder order;
+        order.kind = RankOrderKind::Prepare;
+        order.epoch = 1;
+        order.version = version;
+        order.base = base;
+        order.changes = changesBetween(from, to);
+        order.digest = digestOf(to);
+        return order;
+    }
+
+    const LayerMaps m_first = initialMap(2, 6, 3);
+    const LayerMaps m_second = {{{0, 3}, {1, 2, 4}, {2, 5}}, {{0, 3}, {1, 4}, {0, 2, 5}}};
+    const LayerMaps m_third = {{{0, 3}, {1, 4}, {2, 5}}, {{0, 1, 3}, {1, 4}, {0, 2, 5}}};
+
+public:
+    void firstReadingSetsTheStart()
+    {
+        ChoiceMeter meter;
+        CPPUNIT_ASSERT(meter.since({1, {100, 200}}) == ExpertChoices({0, 0}));
+        CPPUNIT_ASSERT(meter.since({1, {105, 200}}) == ExpertChoices({5, 0}));
+    }
+
+    /** Counts that fall must not be taken as a huge demand. */
+    void restartedRankCountsFromZero()
+    {
+        ChoiceMeter meter;
+        meter.since({1, {1'000, 2'000}});
+        CPPUNIT_ASSERT(meter.since({2, {1, 7}}) == ExpertChoices({1, 7}));
+    }
+
+    void addsUpTheChoicesOfABlock()
+    {
+        GroupNews news;
+        merge(news, {{RankNews{}}, {1, 2}});
+        merge(news, {{RankNews{}}, {10, 20}});
+        merge(news, {{RankNews{}}, {1, 1, 1}});
+        CPPUNIT_ASSERT(news.choices == ExpertChoices({11, 22}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, news.ranks.size());
+    }
+
+    void changesGiveTheWholeMap()
+    {
+        MapCache cache;
+        cache.setInitial(2, 6, 3);
+        CPPUNIT_ASSERT(cache.mapOf(prepare(7, 0, m_first, m_second)) == m_second);
+        CPPUNIT_ASSERT(cache.mapOf(prepare(8, 7, m_second, m_third)) == m_third);
+        CPPUNIT_ASSERT(cache.mapOf(prepare(8, 7, m_second, m_third)) == m_third);
+    }
+
+    /** Two ranks with different maps under one number would break every pass. */
+    void otherBaseIsRefused()
+    {
+        MapCache cache;
+        CPPUNIT_ASSERT(!cache.mapOf(prepare(7, 0, m_first, m_second)));
+        cache.setInitial(2, 6, 3);
+        CPPUNIT_ASSERT(!cache.mapOf(prepare(8, 7, m_second, m_third)));
+        CPPUNIT_ASSERT(!cache.mapOf(prepare(8, 0, m_second, m_third)));
+        auto outside = prepare(8, 0, m_first, m_third);
+        outside.changes.push_back({2, 0, {}});
+        CPPUNIT_ASSERT(!cache.mapOf(outside));
+    }
+
+    void wholeMapNeedsNoBase()
+    {
+        MapCache cache;
+        RankOrder order;
+        order.version = 9;
+        order.epoch = 1;
+        order.map = m_third;
+        CPPUNIT_ASSERT(cache.mapOf(order) == m_third);
+        CPPUNIT_ASSERT(cache.mapOf(prepare(10, 9, m_third, m_second)) == m_second);
+    }
+
+    void numbersOfAnotherEpochAreUnknown()
+    {
+        MapCache cache;
+        cache.setInitial(2, 6, 3);
+        cache.mapOf(prepare(7, 0, m_first, m_second));
+        auto order = prepare(8, 7, m_second, m_third);
+        order.epoch = 2;
+        CPPUNIT_ASSERT(!cache.mapOf(order));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RankNewsTest);
