Choose ranks by the loads and paces of the whole group

Cause of slow passes beside the experts: all ranks wait for the slowest. Each gateway knew a rank's load only from its own requests and answers, on grown sites some seconds old, and nobody took note of a rank that works slowly.

The coordinator hears of all ranks ten times a second anyway; gateways now ask it for running and waiting requests and the pace of each (GET /loads, about 0.4 KB). The choice among ranks is drawn so that what arrives in 0.1 s fills the lowest ones evenly; a rank with more than two requests waiting gets no more, which are refused at once if that holds for all. A slow rank gets fewer requests, and the balancer moves its experts to others.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -1,5 +1,7 @@
 #include "backend_table.h"
 
+#include "backend_choice.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,6 +15,16 @@
 constexpr double remotePenalty = 0.4;
 /** Half-life of a stated load: a stream lasts about a second. */
 constexpr std::chrono::duration<double> loadHalfLife{1.0};
+/** Until then a load counts as that of the whole group at present. */
+constexpr std::chrono::milliseconds freshLoadTime{400};
+/** Requests that a rank gets from all gateways while a load is on its way: 5 a second for 0.1 s. */
+constexpr double arrivalsPerServer = 0.5;
+/** Requests that may wait at a rank: the next one would get its first event after the usual objective of 0.5 s. */
+constexpr double waitingPerServer = 2;
+/** Time of a pass without requests, in units of the time that each adds: step_ms and per_seq_ms of the engines. */
+constexpr double passBase = 5;
+/** Paces up to this are noise. */
+constexpr double slowPace = 1.2;
 constexpr std::chrono::milliseconds shortestPause{250};
 constexpr std::chrono::milliseconds longestPause{4'000};
 /** A full server has room again after about one request. */
@@ -102,12 +114,19 @@
     return it == m_backends.end() ? nullptr : it->second.get();
 }
 
-double BackendTable::score(TimePoint now, const Backend &backend) const
+double BackendTable::load(TimePoint now, const Backend &backend)
 {
     const std::chrono::duration<double> age = now - backend.loadAt;
-    const double others = backend.othersInFlight * std::exp2(-age / loadHalfLife);
+    return backend.inFlight + backend.othersInFlight * std::exp2(-age / loadHalfLife);
+}
+
+double BackendTable::score(TimePoint now, const Backend &backend) const
+{
     const double distance = backend.record.domain == m_domain ? 0 : remotePenalty;
-    return backend.inFlight + others + distance;
+    // All ranks wait for the slowest: a slow one gets as many requests as it works on in the time of the others.
+    const bool isSlow = backend.groupLoadAt + freshLoadTime > now && backend.pace > slowPace;
+    const double pace = isSlow ? backend.pace : 1;
+    return (load(now, backend) + passBase) * pace - passBase + distance;
 }
 
 std::optional<BackendPick> BackendTable::choose(TimePoint now,
@@ -119,29 +138,28 @@
     if (servers == m_services.end()) {
         return std::nullopt;
     }
-    const Backend *best = nullptr;
-    double bestScore = 0;
-    std::size_t ties = 0;
+    std::vector<const Backend *> open;
+    std::vector<double> scores;
+    bool isFresh = true;
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
         if (it->record.isLeaving || it->record.isGroupBroken || it->pausedUntil > now || wasTried) {
             continue;
         }
-        const double s = score(now, *it);
-        if (best != nullptr && s > bestScore) {
+        const bool isKnown = it->groupLoadAt + freshLoadTime > now;
+        if (isKnown && load(now, *it) >= it->record.slots + waitingPerServer) {
             continue;
         }
-        // Equal loads are chosen from at random, or all gateways would take the same server.
-        ties = best != nullptr && s == bestScore ? ties + 1 : 1;
-        if (ties == 1 || random() % ties == 0) {
-            best = it.get();
-            bestScore = s;
-        }
+        open.push_back(it.get());
+        scores.push_back(score(now, *it));
+        isFresh = isFresh && isKnown;
     }
-    if (best == nullptr) {
+    if (open.empty()) {
         return std::nullopt;
     }
-    return BackendPick{best->record.id, best->record.address};
+    const double arrivals = isFresh ? arrivalsPerServer * static_cast<double>(open.size()) : 0;
+    const auto &best = open[chooseByFill(scores, arrivals, random)]->record;
+    return BackendPick{best.id, best.address};
 }
 
 bool BackendTable::isDown(TimePoint now, std::string_view service) const
@@ -202,6 +220,42 @@
     }
 }
 
+std::vector<BackendRecord> BackendTable::groupLeaders(std::uint32_t rank) const
+{
+    std::vector<BackendRecord> leaders;
+    for (const auto &[id, it] : m_backends) {
+        if (!it->record.group.empty() && it->record.rank == rank) {
+            leaders.push_back(it->record);
+        }
+    }
+    return leaders;
+}
+
+void BackendTable::onGroupAsked(std::string_view group)
+{
+    for (const auto &[id, it] : m_backends) {
+        if (it->record.group == group) {
+            it->inFlightAtAsk = it->inFlight;
+        }
+    }
+}
+
+void BackendTable::onGroupLoads(TimePoint now,
+                                std::string_view group,
+                                std::span<const std::optional<BackendLoad>> loads)
+{
+    for (const auto &[id, it] : m_backends) {
+        if (it->record.group != group || it->record.rank >= loads.size() || !loads[it->record.rank]) {
+            continue;
+        }
+        const auto &load = *loads[it->record.rank];
+        it->othersInFlight = std::max(0.0, static_cast<double>(load.running + load.waiting) - it->inFlightAtAsk);
+        it->loadAt = now;
+        it->groupLoadAt = now;
+        it->pace = load.pace;
+    }
+}
+
 void BackendTable::onLoad(TimePoint now, std::string_view id, BackendLoad load)
 {
     if (auto *it = findMutable(id)) {
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -40,6 +40,7 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    double pace = 1; ///< Time that work takes at present in units of the usual time; over 1 for a slow server.
 };
 
 /** A backend server and what this gateway has learned of it. */
@@ -49,6 +50,9 @@
     std::uint32_t inFlight = 0; ///< Requests of this gateway.
     double othersInFlight = 0; ///< Last stated load, less the share of this gateway.
     TimePoint loadAt{}; ///< When that load was stated.
+    std::uint32_t inFlightAtAsk = 0; ///< Requests of this gateway when the load of the group was last asked for.
+    double pace = 1; ///< Last stated one.
+    TimePoint groupLoadAt{}; ///< When the loads of its whole group were last read.
     std::uint32_t failures = 0; ///< Since the last good answer.
     TimePoint pausedUntil{}; ///< Gets no requests before.
     bool isDown = false; ///< The pause is for a fault, not for want of room.
@@ -74,8 +78,9 @@
  * Backend servers by service, with the choice of one for each attempt.
  *
  * Load pattern: many streams of similar size on ranks that advance in lock-step, so that the most loaded rank sets the
- * pace of all. The choice evens out the number of requests per rank; a server in another failure domain is taken only if
- * it has a lower load, since bytes between failure domains are dear.
+ * pace of all. The choice evens out the number of requests per rank, from the loads of the whole group where they are
+ * known; a server in another failure domain is taken only if it has a lower load, since bytes between failure domains
+ * are dear.
  */
 class BackendTable
 {
@@ -100,7 +105,16 @@
     void onFault(TimePoint now, std::string_view id, BackendFault fault);
     void onLoad(TimePoint now, std::string_view id, BackendLoad load);
 
+    /** Servers that are rank @p rank of their group. */
+    std::vector<BackendRecord> groupLeaders(std::uint32_t rank) const;
+    /** The loads of a group are asked for; what this gateway sends from now on is not in them. */
+    void onGroupAsked(std::string_view group);
+    /** @p loads by rank; nothing for a rank that is not heard of. */
+    void onGroupLoads(TimePoint now, std::string_view group, std::span<const std::optional<BackendLoad>> loads);
+
 private:
+    /** Requests of all gateways there, as far as known. */
+    static double load(TimePoint now, const Backend &backend);
     double score(TimePoint now, const Backend &backend) const;
     static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds peerTimeout{250};
 /** Of a call to another agent about a block of ranks, which it asks in turn. */
 constexpr std::chrono::milliseconds blockTimeout{300};
+/** Gateways and other agents keep one or two connections each. */
+constexpr std::size_t maxPeerConnections = 512;
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
@@ -51,7 +53,7 @@
     config.address = endpoint.address().to_string();
     config.port = endpoint.port();
     config.maxBodyBytes = maxPeerBytes;
-    config.maxConnections = 64;
+    config.maxConnections = maxPeerConnections;
     config.readTimeout = 30s;
     return config;
 }
@@ -208,6 +210,12 @@
             return;
         }
         replyNews(*question.value, responder);
+    } else if (request.method == "GET" && request.path == loadsTarget) {
+        if (m_coordinator) {
+            responder->reply(statusOk, {{"Content-Type", packedType}}, encodeGroupLoads(m_coordinator->loads()));
+        } else {
+            responder->reply(statusUnavailable, {}, "no group is coordinated here\n");
+        }
     } else if (request.method == "POST" && request.path == orderTarget) {
         const auto order = decodeRankOrder(request.body);
         if (!order) {
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -12,6 +12,8 @@
 
 /** Part of the demand that is spread evenly over the experts, against fitting the noise of rare ones. */
 constexpr double evenPart = 0.03;
+/** Paces up to this are noise. */
+constexpr double slowPace = 1.2;
 /** Bounds the time of one decision; each step relieves one rank. */
 constexpr int maxSteps = 400;
 /** The search ends after this many steps without a lower skew. */
@@ -24,6 +26,7 @@
     , m_layout(layout)
     , m_shape{ranks, layout.slots, layout.experts}
     , m_demand(layout.layers, DemandEstimate(config.demand, layout.experts))
+    , m_spare(ranks, 0.0)
 {
 }
 
@@ -50,11 +53,25 @@
 {
     double sum = 0;
     for (std::size_t l = 0; l < map.size(); ++l) {
-        sum += skewOf(map[l], m_demand[l].loads());
+        const auto loads = rankLoads(map[l], m_demand[l].loads());
+        const double mean = m_demand[l].sum() / static_cast<double>(loads.size());
+        double largest = 1;
+        for (std::size_t r = 0; r < loads.size() && mean > 0; ++r) {
+            largest = std::max(largest, loads[r] / mean + m_spare[r]);
+        }
+        sum += largest;
     }
     return sum / static_cast<double>(map.size());
 }
 
+void ExpertBalancer::setPaces(std::vector<double> paces)
+{
+    for (std::size_t r = 0; r < m_spare.size() && r < paces.size(); ++r) {
+        // Work of 1 / pace takes a slow rank as long as the mean takes the others.
+        m_spare[r] = paces[r] > slowPace ? 1 - 1 / paces[r] : 0;
+    }
+}
+
 ExpertLoads ExpertBalancer::shares(std::size_t layer) const
 {
     auto loads = m_demand[layer].loads();
@@ -123,7 +140,7 @@
     }
     std::vector<MapSearch> searches(current.size(), MapSearch(m_shape));
     for (std::size_t l = 0; l < current.size(); ++l) {
-        searches[l].reset(current[l], shares(l));
+        searches[l].reset(current[l], shares(l), m_spare);
     }
     improve(searches);
     for (std::size_t l = 0; l < current.size(); ++l) {
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -41,9 +41,12 @@
 
     /** Adds choices of some ranks; those for another number of experts are ignored. */
     void observe(TimePoint now, const ExpertChoices &choices);
+    /** Time that work takes on each rank at present, in units of the usual time. */
+    void setPaces(std::vector<double> paces);
     /** A better map than @p current; nothing if none gains enough. */
     std::optional<MapProposal> propose(TimePoint now, const LayerMaps &current);
 
+    /** Mean over the layers of the time of the slowest rank, in units of the time that an even map takes. */
     double skew(const LayerMaps &map) const;
 
 private:
@@ -56,6 +59,7 @@
     ExpertLayout m_layout;
     PlacementShape m_shape;
     std::vector<DemandEstimate> m_demand; ///< By layer.
+    std::vector<double> m_spare; ///< Part of the mean load that each rank must stay below it for its pace.
 };
 
 } // namespace turmericline
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -76,6 +76,7 @@
     , m_random(randomSeed())
     , m_backends(settings.domain)
     , m_registry(m_dialect, m_backends)
+    , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort))
     , m_pool(io)
     , m_retryConfig(retryConfig(settings))
     , m_configReader(
@@ -287,6 +288,7 @@
     m_configReader.tick(now);
     m_serverReader.tick(now);
     m_registry.tick(now);
+    m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
         it->tick(now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway_route.h"
 #include "gateway_settings.h"
 #include "ops_server.h"
+#include "rank_load_reader.h"
 #include "store_reader.h"
 
 #include <asio/io_context.hpp>
@@ -58,6 +59,7 @@
     std::mt19937_64 m_random;
     BackendTable m_backends;
     BackendRegistry m_registry;
+    RankLoadReader m_rankLoads;
     BackendPool m_pool;
     std::map<std::string, RetryWindow, std::less<>> m_retries;
     RetryWindowConfig m_retryConfig;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -21,9 +21,10 @@
     std::uint64_t retryPercent = 0;
     std::uint64_t retryAllowance = 0;
     std::uint64_t maxConnections = 0;
+    std::uint64_t agentPort = 0;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 14> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 15> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
@@ -68,6 +69,13 @@
      false,
      0,
      1'000'000},
+    {"agent-port",
+     &GatewaySettings::agentPort,
+     "0",
+     "port of the expert agents, which tell the loads of ranks; 0 if there are none",
+     false,
+     0,
+     65'535},
     {"max-connections", &GatewaySettings::maxConnections, "3000", "connections of callers", false, 8, 100'000},
 }};
 
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds directTime{1'000};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
+/** Loads older than this are not passed on. */
+constexpr std::chrono::milliseconds loadLifetime{400};
 constexpr std::chrono::milliseconds abandonPause{1'000};
 /** Numbers of maps that different coordinators choose at the same time differ in their lower digits. */
 constexpr MapNumber numberStride = 1'000'000;
@@ -132,6 +134,21 @@
     member.at = now;
     member.held = std::move(news.held);
     member.isNew = true;
+    member.isStale = false;
+}
+
+GroupLoads GroupCoordinator::loads() const
+{
+    GroupLoads loads;
+    for (const auto &it : m_states) {
+        const bool isFresh = it.state && m_now - it.at < loadLifetime;
+        loads.ranks.push_back(isFresh ? std::optional(BackendLoad{it.state->running, it.state->waiting, it.state->pace})
+                                      : std::nullopt);
+        if (it.state) {
+            loads.group = it.state->group;
+        }
+    }
+    return loads;
 }
 
 void GroupCoordinator::driveSwitch(TimePoint now)
@@ -180,7 +197,7 @@
         m_mapNumber = m_switch->version();
         // What the ranks stated before does not show the new map.
         for (auto &it : m_states) {
-            it.state.reset();
+            it.isStale = true;
         }
         m_askAt = now;
     } else {
@@ -193,7 +210,7 @@
 bool GroupCoordinator::isSettled(TimePoint now) const
 {
     return std::all_of(m_states.begin(), m_states.end(), [this, now](const Member &it) {
-        return it.state && now - it.at < stateLifetime && it.state->epoch == m_epoch && it.state->isOpen
+        return it.state && !it.isStale && now - it.at < stateLifetime && it.state->epoch == m_epoch && it.state->isOpen
                && it.state->size == m_states.size();
     });
 }
@@ -277,6 +294,11 @@
     if (m_mapNumber != m_states.front().state->map && !learnMap()) {
         return;
     }
+    std::vector<double> paces;
+    for (const auto &it : m_states) {
+        paces.push_back(it.state->pace);
+    }
+    m_balancer.setPaces(std::move(paces));
     auto proposal = m_balancer.propose(now, m_map);
     if (!proposal) {
         return;
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -2,6 +2,7 @@
 
 #include "expert_balancer.h"
 #include "map_switch.h"
+#include "rank_load.h"
 #include "rank_news.h"
 
 #include <functional>
@@ -44,6 +45,9 @@
 
     void tick(TimePoint now);
 
+    /** Of ranks that were heard of lately. */
+    GroupLoads loads() const;
+
     std::size_t ranks() const
     {
         return m_states.size();
@@ -57,6 +61,7 @@
         TimePoint at{};
         HeldExperts held;
         bool isNew = false; ///< Not handed to the switch yet.
+        bool isStale = false; ///< Stated before the map in use.
     };
 
     /** Ranks that are asked by one question. */
--- a/src/map_switch.h
+++ b/src/map_switch.h
@@ -131,6 +131,4 @@
     std::string m_reason;
 };
 
-inline constexpr std::uint32_t holdingRank = 0; ///< Rank that holds the group; its agent is the coordinator.
-
 } // namespace turmericline
--- a/src/placement_search.cpp
+++ b/src/placement_search.cpp
@@ -83,6 +83,15 @@
     }
 }
 
+void MapSearch::reset(const ExpertMap &map, const ExpertLoads &shares, std::span<const double> spare)
+{
+    reset(map, shares);
+    for (std::size_t r = 0; r < spare.size(); ++r) {
+        m_rankLoad[r] += spare[r];
+        m_penalty[r] = penalty(m_rankLoad[r]);
+    }
+}
+
 double MapSearch::skew() const
 {
     return *std::max_element(m_rankLoad.begin(), m_rankLoad.end());
--- a/src/placement_search.h
+++ b/src/placement_search.h
@@ -24,6 +24,8 @@
 
     /** Starts from @p map with the expected @p shares of the experts. */
     void reset(const ExpertMap &map, const ExpertLoads &shares);
+    /** @p spare: load that each rank counts beyond its experts, in units of the mean load; for ranks that are slow. */
+    void reset(const ExpertMap &map, const ExpertLoads &shares, std::span<const double> spare);
 
     /** Allows each rank at most so many copies that it did not hold at the start. */
     void limitNewCopies(std::span<const std::size_t> mostByRank);
--- a/src/rank_codec.cpp
+++ b/src/rank_codec.cpp
@@ -81,6 +81,9 @@
                          optionalNumber(state.prepared),
                          optionalNumber(state.armed),
                          optionalNumber(state.held),
+                         state.running,
+                         state.waiting,
+                         state.pace,
                          held});
     }
     return pack({{"format", formatNumber}, {"ranks", std::move(ranks)}, {"choices", news.choices}});
@@ -104,6 +107,9 @@
             s.prepared = readOptional(it.at(n++));
             s.armed = readOptional(it.at(n++));
             s.held = readOptional(it.at(n++));
+            s.running = it.at(n++).get<std::uint32_t>();
+            s.waiting = it.at(n++).get<std::uint32_t>();
+            s.pace = it.at(n++).get<double>();
             rank.held = it.at(n++).get<HeldExperts>();
             news.ranks.push_back(std::move(rank));
         }
--- a/src/rank_type.h
+++ b/src/rank_type.h
@@ -14,6 +14,8 @@
 using MapNumber = std::uint64_t; ///< Version of an expert map; each number is used for one map only.
 using PassNumber = std::uint64_t; ///< Counts the passes of a group within one epoch.
 
+inline constexpr std::uint32_t holdingRank = 0; ///< Rank that holds the group; its agent is the coordinator.
+
 /** What a rank states of itself. */
 struct RankState
 {
@@ -27,6 +29,9 @@
     std::optional<MapNumber> prepared; ///< Copied and ready.
     std::optional<MapNumber> armed; ///< To be taken into use.
     std::optional<PassNumber> held; ///< Pass that the group does not begin.
+    std::uint32_t running = 0; ///< Requests.
+    std::uint32_t waiting = 0; ///< Requests.
+    double pace = 1; ///< Time that work takes at present in units of the usual time.
 };
 
 /** Experts of one rank by layer. */
--- a/tests/fuzz_platform_test.cpp
+++ b/tests/fuzz_platform_test.cpp
@@ -3,6 +3,7 @@
 #include "platform_dialect.h"
 #include "platform_rank.h"
 #include "rank_codec.h"
+#include "rank_load.h"
 
 using namespace turmericline;
 using namespace std::chrono_literals;
@@ -232,6 +233,10 @@
             RC_ASSERT(read.value.has_value() || !read.reason.empty());
             const auto order = decodeRankOrder(text);
             RC_ASSERT(order.value.has_value() || !order.reason.empty());
+            const auto loads = decodeGroupLoads(text);
+            RC_ASSERT(loads.value.has_value() || !loads.reason.empty());
+            const auto question = decodeRankQuestion(text);
+            RC_ASSERT(question.value.has_value() || !question.reason.empty());
             const auto news = decodeGroupNews(text);
             RC_ASSERT(news.value.has_value() || !news.reason.empty());
         });
--- /dev/null
+++ b/tests/unit_backend_choice_test.cpp
@@ -0,0 +1,186 @@
+#include "backend_choice.h"
+#include "backend_table.h"
+#include "rank_load.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <vector>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t servers = 63;
+constexpr std::size_t rounds = 200;
+constexpr std::size_t arrivalsPerRound = 30; ///< Requests of all gateways while a figure is on its way.
+constexpr double servedPerRound = 0.48; ///< Requests that a server ends in that time.
+
+/**
+ * Many gateways choose on the figures of the last round; returns the mean of the largest load.
+ * @p arrivals: what each choice takes into account; 0 is the baseline that takes the least loaded server.
+ */
+double meanLargestLoad(double arrivals)
+{
+    std::mt19937_64 random(7);
+    std::vector<double> loads(servers, 5.0);
+    double sum = 0;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        const auto stale = loads;
+        for (std::size_t n = 0; n < arrivalsPerRound; ++n) {
+            loads[chooseByFill(stale, arrivals, random)] += 1;
+        }
+        for (auto &it : loads) {
+            it = std::max(0.0, it - servedPerRound);
+        }
+        sum += *std::max_element(loads.begin(), loads.end());
+    }
+    return sum / static_cast<double>(rounds);
+}
+
+} // namespace
+
+/** Guards against gateways that pile requests onto one rank, which would slow down all ranks of its group. */
+class BackendChoiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BackendChoiceTest);
+    CPPUNIT_TEST(staleFiguresDoNotPileUp);
+    CPPUNIT_TEST(withoutArrivalsTheLeastLoadedIsTaken);
+    CPPUNIT_TEST(fillsTheLowest);
+    CPPUNIT_TEST(countsWhatWasSentSinceTheQuestion);
+    CPPUNIT_TEST(slowRanksGetLess);
+    CPPUNIT_TEST(refusesWhatWouldWaitTooLong);
+    CPPUNIT_TEST(findsTheLeadersOfGroups);
+    CPPUNIT_TEST(loadsSurviveTheWire);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now{1'000s};
+    std::mt19937_64 m_random{3};
+
+    static BackendRecord record(std::uint32_t rank)
+    {
+        BackendRecord it;
+        it.id = "r" + std::to_string(rank);
+        it.service = "s";
+        it.address = "10.0.0." + std::to_string(rank + 1) + ":80";
+        it.domain = "near";
+        it.group = "g";
+        it.rank = rank;
+        return it;
+    }
+
+public:
+    void staleFiguresDoNotPileUp()
+    {
+        const double taken = meanLargestLoad(static_cast<double>(arrivalsPerRound));
+        const double baseline = meanLargestLoad(0);
+        CPPUNIT_ASSERT(taken < 0.6 * baseline);
+    }
+
+    void withoutArrivalsTheLeastLoadedIsTaken()
+    {
+        const std::vector<double> loads{3, 1, 2, 1.4};
+        for (int n = 0; n < 100; ++n) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, chooseByFill(loads, 0, m_random));
+        }
+    }
+
+    /** Four arrivals fill 0, 1 and 2 up to a level of 7/3, and leave 5 out. */
+    void fillsTheLowest()
+    {
+        const std::vector<double> loads{0, 1, 2, 5};
+        std::vector<int> taken(loads.size(), 0);
+        constexpr int draws = 12'000;
+        for (int n = 0; n < draws; ++n) {
+            ++taken[chooseByFill(loads, 4, m_random)];
+        }
+        CPPUNIT_ASSERT_EQUAL(0, taken[3]);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(7.0 / 12, taken[0] / double{draws}, 0.03);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0 / 12, taken[1] / double{draws}, 0.03);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 12, taken[2] / double{draws}, 0.03);
+    }
+
+    /** A figure that was on its way when a request was sent does not contain it. */
+    void countsWhatWasSentSinceTheQuestion()
+    {
+        BackendTable table("near");
+        table.upsert(record(0));
+        table.onStart("r0");
+        table.onGroupAsked("g");
+        table.onStart("r0");
+        table.onStart("r0");
+        const std::vector<std::optional<BackendLoad>> loads{BackendLoad{4, 1}};
+        table.onGroupLoads(m_now, "g", loads);
+        // Five at the rank, one of them ours; two more were sent since.
+        CPPUNIT_ASSERT_EQUAL(4.0, table.find("r0")->othersInFlight);
+        CPPUNIT_ASSERT_EQUAL(3U, table.find("r0")->inFlight);
+    }
+
+    /** A rank of twice the usual pace holds up the others unless it has fewer requests. */
+    void slowRanksGetLess()
+    {
+        BackendTable table("near");
+        for (std::uint32_t rank = 0; rank < 2; ++rank) {
+            auto server = record(rank);
+            server.slots = 200;
+            table.upsert(server);
+        }
+        const std::vector<std::optional<BackendLoad>> loads{BackendLoad{0, 0, 2.0}, BackendLoad{6, 0, 1.0}};
+        table.onGroupAsked("g");
+        table.onGroupLoads(m_now, "g", loads);
+        for (int n = 0; n < 100; ++n) {
+            const auto pick = table.choose(m_now, "s", {}, m_random);
+            table.onStart(pick->id);
+        }
+        CPPUNIT_ASSERT(table.find("r0")->inFlight < 45);
+        CPPUNIT_ASSERT(table.find("r0")->inFlight > 15);
+    }
+
+    /** A request that cannot begin within the objective is refused at once; one that may be served is not. */
+    void refusesWhatWouldWaitTooLong()
+    {
+        BackendTable table("near");
+        auto server = record(0);
+        server.slots = 10;
+        table.upsert(server);
+        table.onGroupAsked("g");
+        const std::vector<std::optional<BackendLoad>> full{BackendLoad{10, 2}};
+        table.onGroupLoads(m_now, "g", full);
+        CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
+        // What is known is too old to refuse for.
+        CPPUNIT_ASSERT(table.choose(m_now + 1s, "s", {}, m_random));
+        const std::vector<std::optional<BackendLoad>> busy{BackendLoad{10, 1}};
+        table.onGroupLoads(m_now, "g", busy);
+        CPPUNIT_ASSERT(table.choose(m_now, "s", {}, m_random));
+    }
+
+    void findsTheLeadersOfGroups()
+    {
+        BackendTable table("near");
+        table.upsert(record(0));
+        table.upsert(record(1));
+        auto plain = record(0);
+        plain.id = "plain";
+        plain.group.clear();
+        table.upsert(plain);
+        const auto leaders = table.groupLeaders(0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r0"), leaders.front().id);
+    }
+
+    void loadsSurviveTheWire()
+    {
+        const GroupLoads loads{"g", {BackendLoad{3, 2, 1.5}, std::nullopt}};
+        const auto back = decodeGroupLoads(encodeGroupLoads(loads));
+        CPPUNIT_ASSERT(back && back.value->group == "g" && back.value->ranks.size() == 2);
+        CPPUNIT_ASSERT(back.value->ranks[0]->running == 3 && back.value->ranks[0]->waiting == 2);
+        CPPUNIT_ASSERT_EQUAL(1.5, back.value->ranks[0]->pace);
+        CPPUNIT_ASSERT(!back.value->ranks[1]);
+        CPPUNIT_ASSERT(!decodeGroupLoads("nonsense"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendChoiceTest);
--- a/tests/unit_expert_balancer_test.cpp
+++ b/tests/unit_expert_balancer_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(proposesNothingWithoutDemand);
     CPPUNIT_TEST(proposesNothingWhenGoodEnough);
     CPPUNIT_TEST(ignoresCountsOfAnotherModel);
+    CPPUNIT_TEST(relievesSlowRanks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +142,31 @@
         CPPUNIT_ASSERT(!balancer.propose(TimePoint(1'001s), initialMap(layout.layers, layout.experts, ranks)));
     }
 
+    /** All ranks wait for a slow one, so its experts go elsewhere. */
+    void relievesSlowRanks()
+    {
+        ExpertBalancerConfig config;
+        config.copiesPerSwitch = 4;
+        ExpertBalancer balancer(config, layout, ranks);
+        const ExpertChoices even(std::size_t{layout.layers} * layout.experts, 1'000);
+        balancer.observe(TimePoint(1'000s), even);
+        balancer.observe(TimePoint(1'001s), even);
+        std::vector<double> paces(ranks, 1.0);
+        constexpr std::size_t slow = 5;
+        paces[slow] = 3.0;
+        balancer.setPaces(paces);
+        auto map = initialMap(layout.layers, layout.experts, ranks);
+        for (int n = 0; n < 10; ++n) {
+            if (auto proposal = balancer.propose(TimePoint(1'001s), map)) {
+                map = std::move(proposal->map);
+            }
+        }
+        for (const auto &layer : map) {
+            const auto loads = rankLoads(layer, ExpertLoads(layout.experts, 1.0));
+            CPPUNIT_ASSERT(loads[slow] < 0.7 * static_cast<double>(layout.experts) / ranks);
+        }
+    }
+
     /** Counts of another model must not be mixed in. */
     void ignoresCountsOfAnotherModel()
     {
