End the hold of a switch only on what was read after its orders

After a rank had refused to be armed, the switch took "not armed" from states that were read before the others were armed, and ended the hold with some ranks armed: a pass could begin with two maps.

States count as evidence only if they were asked for in the present phase, what was known of disarming is dropped when disarming begins, and the hold stays while an order to arm has no answer. The model now also delivers news late.

--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -83,6 +83,7 @@
         return;
     }
     inquiry.isAsked = true;
+    inquiry.phase = m_phaseCount;
     RankQuestion question;
     question.first = inquiry.first;
     question.count = inquiry.count;
@@ -110,7 +111,7 @@
         return;
     }
     for (auto &it : news->ranks) {
-        learnRank(m_now, std::move(it));
+        learnRank(m_now, std::move(it), inquiry.phase == m_phaseCount);
     }
     if (!news->choices.empty()) {
         m_balancer.observe(m_now, news->choices);
@@ -120,7 +121,8 @@
     }
 }
 
-void GroupCoordinator::learnRank(TimePoint now, RankNews news)
+/** @p isEvidence: it was read in the present phase of the switch. */
+void GroupCoordinator::learnRank(TimePoint now, RankNews news, bool isEvidence)
 {
     if (news.state.rank >= m_states.size()) {
         return;
@@ -133,8 +135,8 @@
     member.state = std::move(news.state);
     member.at = now;
     member.held = std::move(news.held);
-    member.isNew = true;
-    member.isStale = false;
+    member.isNew = isEvidence;
+    member.isStale = member.isStale && !isEvidence;
 }
 
 GroupLoads GroupCoordinator::loads() const
@@ -162,6 +164,8 @@
     const auto before = m_switch->phase();
     const auto orders = m_switch->poll(now, fresh);
     if (m_switch->phase() != before) {
+        ++m_phaseCount;
+        m_askAt = now;
         logEvent(LogLevel::Debug,
                  "map switch advanced",
                  {{"map", m_switch->version()}, {"phase", static_cast<int>(m_switch->phase())}});
@@ -273,6 +277,10 @@
     // Without a map that may be armed, the switch has nothing to arm and only ends the hold.
     m_switch = MapSwitch::resume({}, now, m_epoch, m_states.size(), number.value_or(m_states.front().state->map), held);
     m_switchAt = now;
+    ++m_phaseCount;
+    for (auto &it : m_states) {
+        it.isNew = false;
+    }
     logEvent(LogLevel::Warning, "hold found without a switch", {{"pass", held}, {"map", m_switch->version()}});
 }
 
@@ -316,6 +324,7 @@
     plan.changes = changesBetween(m_map, plan.map);
     m_switch.emplace(MapSwitchConfig{}, now, m_epoch, m_states.size(), number, std::move(plan));
     m_switchAt = now;
+    ++m_phaseCount;
     for (auto &it : m_states) {
         it.isNew = false;
     }
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -70,6 +70,7 @@
         std::uint32_t first = 0;
         std::uint32_t count = 1;
         bool isAsked = false;
+        std::uint64_t phase = 0; ///< Value of m_phaseCount when it was asked.
         TimePoint choicesAt{}; ///< When counts are asked for again.
         TimePoint directUntil{}; ///< Until then its ranks are asked one by one.
     };
@@ -77,7 +78,7 @@
     void ask(TimePoint now);
     void ask(TimePoint now, Inquiry &inquiry);
     void onNews(Inquiry &inquiry, const RankQuestion &question, std::optional<GroupNews> news);
-    void learnRank(TimePoint now, RankNews news);
+    void learnRank(TimePoint now, RankNews news, bool isEvidence);
     void driveSwitch(TimePoint now);
     void considerSwitch(TimePoint now);
     bool isSettled(TimePoint now) const;
@@ -94,6 +95,7 @@
     std::vector<Inquiry> m_blocks;
     std::vector<Inquiry> m_singles; ///< By rank.
     std::optional<MapSwitch> m_switch;
+    std::uint64_t m_phaseCount = 0; ///< Phases of switches begun.
     std::optional<MapNumber> m_mapNumber; ///< Of m_map; nothing if the map in use is not known.
     LayerMaps m_map;
     bool m_needsHeld = false;
--- a/src/map_switch.cpp
+++ b/src/map_switch.cpp
@@ -42,11 +42,19 @@
     });
 }
 
+bool MapSwitch::hasOpenArms() const
+{
+    return std::any_of(m_ranks.begin(), m_ranks.end(), [](const Rank &it) {
+        return it.openArms > 0;
+    });
+}
+
 void MapSwitch::enter(Phase phase)
 {
     m_phase = phase;
     for (auto &it : m_ranks) {
         it.sentAt = TimePoint::min();
+        it.isDisarmed = false;
     }
 }
 
@@ -107,7 +115,8 @@
         }
         break;
     case Phase::Disarming:
-        if (all(&Rank::isDisarmed) && (!m_lastOpenArm || now - *m_lastOpenArm > m_config.lateOrderTime)) {
+        if (all(&Rank::isDisarmed) && !hasOpenArms()
+            && (!m_lastOpenArm || now - *m_lastOpenArm > m_config.lateOrderTime)) {
             enter(Phase::Releasing);
         }
         break;
@@ -129,6 +138,7 @@
         return;
     }
     it.sentAt = now;
+    it.openArms += kind == RankOrderKind::Arm ? 1 : 0;
     RankOrder order;
     order.kind = kind;
     order.epoch = m_epoch;
@@ -186,6 +196,7 @@
     if (order.kind == RankOrderKind::Prepare) {
         it.isPreparing = isAccepted;
     } else if (order.kind == RankOrderKind::Arm) {
+        --it.openArms;
         if (!answer) {
             m_lastOpenArm = now;
         } else if (m_phase == Phase::Arming) {
--- a/src/map_switch.h
+++ b/src/map_switch.h
@@ -66,7 +66,10 @@
                             MapNumber version,
                             PassNumber held);
 
-    /** Orders to send now, by rank. @p states: what each rank stated since the last call; nothing if it did not. */
+    /**
+     * Orders to send now, by rank. @p states: what each rank stated since the last call; nothing if it did not. What was
+     * read before the present phase began must be left out: it does not show what the orders since have done.
+     */
     std::vector<std::pair<std::uint32_t, RankOrder>> poll(TimePoint now,
                                                           std::span<const std::optional<RankState>> states);
     /** @p answer: nothing if none came. */
@@ -106,6 +109,7 @@
         bool needsWhole = false; ///< Its agent does not know the map that changes.
         bool isArmed = false;
         bool isDisarmed = false;
+        std::uint32_t openArms = 0; ///< Orders to arm that are not answered yet.
         bool hasRefused = false; ///< The last answer to an order to arm was a refusal.
         TimePoint sentAt = TimePoint::min();
     };
@@ -117,6 +121,7 @@
     void enter(Phase phase);
     void send(TimePoint now, std::uint32_t rank, RankOrderKind kind, Orders &orders);
     bool all(bool Rank::*flag) const;
+    bool hasOpenArms() const;
 
     MapSwitchConfig m_config;
     TimePoint m_startedAt;
--- a/tests/fuzz_map_switch_test.cpp
+++ b/tests/fuzz_map_switch_test.cpp
@@ -63,6 +63,7 @@
         faults.rankRestarts = 0.0005;
         faults.agentCut = 0.003;
         faults.agentRestarts = 0.003;
+        faults.slowNews = 0.2;
         faults.idle = 0.002;
         return faults;
     }
@@ -85,6 +86,7 @@
                                  &GroupFaults::rankRestarts,
                                  &GroupFaults::agentCut,
                                  &GroupFaults::agentRestarts,
+                                 &GroupFaults::slowNews,
                                  &GroupFaults::idle}) {
             GroupFaults faults;
             faults.*fault = allFaults().*fault * 2;
--- a/tests/group_world.h
+++ b/tests/group_world.h
@@ -19,6 +19,7 @@
     double rankRestarts = 0; ///< Per step; the group forms anew.
     double agentCut = 0; ///< Per step; one agent answers nothing for up to 3 s.
     double agentRestarts = 0; ///< Per step; one agent forgets the maps that it was sent.
+    double slowNews = 0; ///< What is told of ranks arrives up to 0.3 s after it was read.
     double idle = 0; ///< Per step; the group makes no passes for up to 3 s.
     // Safeguards that are taken away, to show that the oracle sees what they prevent.
     bool holdsNothing = false; ///< Orders to hold are acknowledged without effect.
@@ -141,7 +142,12 @@
                       isCut.push_back(m_withFaults && m_now < m_cutUntil[question.first + n]);
                   }
                   later(upTo(20) + stepTime, [this, question, isCut, handler = std::move(handler)] {
-                      handler(isCut.front() ? std::nullopt : std::optional(news(question, isCut)));
+                      auto told = isCut.front() ? std::nullopt : std::optional(news(question, isCut));
+                      // An agent that waits for another one of its block hands on what it read before.
+                      const auto delay = happens(m_faults.slowNews) ? upTo(300) : std::chrono::milliseconds(0);
+                      later(delay, [told = std::move(told), handler] {
+                          handler(told);
+                      });
                   });
               };
         link.sendOrder = [this](std::uint32_t rank,
--- /dev/null
+++ b/tests/unit_group_coordinator_test.cpp
@@ -0,0 +1,176 @@
+#include "group_coordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <utility>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards against a hold that ends on what was told of a rank before it was armed. */
+class GroupCoordinatorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GroupCoordinatorTest);
+    CPPUNIT_TEST(newsFromBeforeAnOrderAreNoProof);
+    CPPUNIT_TEST(openOrdersToArmKeepTheHold);
+    CPPUNIT_TEST(blocksAreAskedOneByOneAfterAFailure);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint32_t ranks = 2;
+
+    struct Question
+    {
+        RankQuestion question;
+        GroupLink::NewsHandler handler;
+    };
+
+    struct Order
+    {
+        std::uint32_t rank = 0;
+        RankOrder order;
+        GroupLink::OrderHandler handler;
+    };
+
+    std::vector<Question> m_questions;
+    std::vector<Order> m_orders;
+    std::mt19937_64 m_random{1};
+    TimePoint m_now{1'000s};
+    std::unique_ptr<GroupCoordinator> m_coordinator;
+    RankState m_state; ///< Of each rank, but for its number.
+
+    GroupLink link()
+    {
+        GroupLink link;
+        link.askNews = [this](const RankQuestion &question, GroupLink::NewsHandler handler) {
+            m_questions.push_back({question, std::move(handler)});
+        };
+        link.sendOrder = [this](std::uint32_t rank, const RankOrder &order, GroupLink::OrderHandler handler) {
+            m_orders.push_back({rank, order, std::move(handler)});
+        };
+        return link;
+    }
+
+    void tick()
+    {
+        m_now += 110ms;
+        m_coordinator->tick(m_now);
+    }
+
+    GroupNews news(const RankQuestion &question) const
+    {
+        GroupNews news;
+        for (std::uint32_t n = 0; n < question.count; ++n) {
+            news.ranks.push_back({m_state, {}});
+            news.ranks.back().state.rank = question.first + n;
+        }
+        if (question.withChoices) {
+            news.choices = {100'000, 10, 10, 10, 10, 10};
+        }
+        return news;
+    }
+
+    void answerQuestions()
+    {
+        for (const auto &it : std::exchange(m_questions, {})) {
+            it.handler(news(it.question));
+        }
+    }
+
+    /** Takes the orders of @p kind that are not answered yet. */
+    std::vector<Order> take(RankOrderKind kind)
+    {
+        std::vector<Order> taken;
+        const auto isKind = [kind](const Order &it) {
+            return it.order.kind == kind;
+        };
+        std::copy_if(m_orders.begin(), m_orders.end(), std::back_inserter(taken), isKind);
+        std::erase_if(m_orders, isKind);
+        return taken;
+    }
+
+    /** Brings a switch to the moment at which both ranks are told to arm. */
+    std::vector<Order> startArming()
+    {
+        ExpertBalancerConfig config;
+        config.demand.blockCounts = 10;
+        config.goalSkew = 1.05;
+        m_state.group = "g";
+        m_state.epoch = 1;
+        m_state.size = ranks;
+        m_state.isOpen = true;
+        m_state.pass = 10;
+        m_coordinator = std::make_unique<GroupCoordinator>(config, ExpertLayout{1, 6, 5, 2}, ranks, link(), m_random);
+        std::vector<Order> prepares;
+        for (int n = 0; n < 10 && prepares.empty(); ++n) {
+            tick();
+            answerQuestions();
+            prepares = take(RankOrderKind::Prepare);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ranks}, prepares.size());
+        for (const auto &it : prepares) {
+            it.handler(OrderAnswer::Accepted);
+        }
+        m_state.prepared = prepares.front().order.version;
+        std::vector<Order> holds;
+        for (int n = 0; n < 10 && holds.empty(); ++n) {
+            tick();
+            answerQuestions();
+            holds = take(RankOrderKind::Hold);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, holds.size());
+        // A question is on its way while the hold is answered and the ranks are told to arm.
+        tick();
+        m_state.held = holds.front().order.pass;
+        holds.front().handler(OrderAnswer::Accepted);
+        return take(RankOrderKind::Arm);
+    }
+
+public:
+    void newsFromBeforeAnOrderAreNoProof()
+    {
+        const auto arms = startArming();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ranks}, arms.size());
+        arms[0].handler(OrderAnswer::Accepted);
+        arms[1].handler(OrderAnswer::Refused);
+        CPPUNIT_ASSERT(!take(RankOrderKind::Disarm).empty());
+        // Read before rank 0 was armed, and on its way since.
+        answerQuestions();
+        tick();
+        CPPUNIT_ASSERT(take(RankOrderKind::Go).empty());
+        // Read after the order to disarm had its effect.
+        answerQuestions();
+        tick();
+        CPPUNIT_ASSERT(!take(RankOrderKind::Go).empty());
+    }
+
+    void openOrdersToArmKeepTheHold()
+    {
+        const auto arms = startArming();
+        arms[1].handler(OrderAnswer::Refused);
+        answerQuestions();
+        tick();
+        answerQuestions();
+        tick();
+        // The order to arm rank 0 may be carried out at any moment.
+        CPPUNIT_ASSERT(take(RankOrderKind::Go).empty());
+        arms[0].handler(OrderAnswer::Refused);
+        tick();
+        CPPUNIT_ASSERT(!take(RankOrderKind::Go).empty());
+    }
+
+    void blocksAreAskedOneByOneAfterAFailure()
+    {
+        m_coordinator = std::make_unique<GroupCoordinator>(
+            ExpertBalancerConfig{}, ExpertLayout{1, 6, 5, 2}, ranks, link(), m_random);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_questions.size());
+        CPPUNIT_ASSERT_EQUAL(2U, m_questions[0].question.count);
+        std::exchange(m_questions, {})[0].handler(std::nullopt);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_questions.size());
+        CPPUNIT_ASSERT_EQUAL(1U, m_questions[1].question.first);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupCoordinatorTest);
