--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -12,6 +12,8 @@
 
 /** Part of the demand that is spread evenly over the experts, against fitting the noise of rare ones. */
 constexpr double evenPart = 0.03;
+/** See ExpertBalancerConfig::copiesPerSwitch. */
+constexpr std::size_t layersPerCopy = 4;
 /** Paces up to this are noise. */
 constexpr double slowPace = 1.2;
 /** Bounds the time of one decision; each step relieves one rank. */
@@ -83,6 +85,12 @@
     return loads;
 }
 
+/** A change of demand asks for copies in each layer, so their number grows with the layers. */
+std::size_t ExpertBalancer::copiesPerRank() const
+{
+    return m_config.copiesPerSwitch * std::max<std::size_t>(1, m_layout.layers / layersPerCopy);
+}
+
 /** Copies that each rank may have in the layer of @p search, given those in the other layers. */
 std::vector<std::size_t> ExpertBalancer::copiesLeft(const std::vector<MapSearch> &searches,
                                                     const MapSearch &search) const
@@ -93,7 +101,7 @@
         for (const auto &it : searches) {
             all += it.newCopies(r);
         }
-        const auto free = m_config.copiesPerSwitch - std::min(all, m_config.copiesPerSwitch);
+        const auto free = copiesPerRank() - std::min(all, copiesPerRank());
         left[r] = std::min<std::size_t>(search.newCopies(r) + free, m_layout.newPerSwitch);
     }
     return left;
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -16,8 +16,8 @@
     DemandEstimateConfig demand;
     double goalSkew = 1.25; ///< Copies beyond it are not worth their price.
     double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
-    std::size_t copiesPerSwitch
-        = 6; ///< Copies that a rank makes at most for one change of map: the time that it takes.
+    /** Copies that a rank makes at most for one change of map, for every four layers: the time that it takes. */
+    std::size_t copiesPerSwitch = 1;
 };
 
 struct MapProposal
@@ -53,6 +53,7 @@
     void update(TimePoint now);
     ExpertLoads shares(std::size_t layer) const;
     void improve(std::vector<MapSearch> &searches) const;
+    std::size_t copiesPerRank() const;
     std::vector<std::size_t> copiesLeft(const std::vector<MapSearch> &searches, const MapSearch &search) const;
 
     ExpertBalancerConfig m_config;
--- a/tests/unit_expert_balancer_test.cpp
+++ b/tests/unit_expert_balancer_test.cpp
@@ -61,7 +61,9 @@
     /** Replays 30 s of demand: a map is in use 400 ms after it is proposed. */
     void followsChangingDemand()
     {
-        ExpertBalancer balancer({}, layout, ranks);
+        ExpertBalancerConfig config;
+        config.copiesPerSwitch = 4;
+        ExpertBalancer balancer(config, layout, ranks);
         Demand demand;
         auto map = initialMap(layout.layers, layout.experts, ranks);
         const auto initial = map;
@@ -89,7 +91,7 @@
     void keepsTheLimitsOfRanks()
     {
         ExpertBalancerConfig config;
-        config.copiesPerSwitch = 5;
+        config.copiesPerSwitch = 5; // For the four layers of this model.
         config.goalSkew = 1.0;
         ExpertBalancer balancer(config, layout, ranks);
         Demand demand;
