--- a/src/demand_estimate.h
+++ b/src/demand_estimate.h
@@ -15,6 +15,8 @@
     std::chrono::milliseconds blockTime{50}; ///< Shortest block: about one pass.
     double blockCounts = 5'000; ///< Choices without which a block tells little about the distribution.
     std::chrono::milliseconds halfLife{2'000}; ///< Of old choices while the demand stays.
+
+    bool operator==(const DemandEstimateConfig &) const = default;
 };
 
 /**
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -129,16 +129,61 @@
                        onPeerRequest(request, responder);
                    })
     , m_timer(io)
-    , m_signals(io, SIGTERM, SIGINT)
+    , m_signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"peer", settings.peer}});
-    m_signals.async_wait([this](const asio::error_code &ec, int) {
-        if (!ec) {
-            logEvent(LogLevel::Info, "stopped");
-            m_io.stop();
+    waitForSignal();
+    tick();
+}
+
+void ExpertAgent::waitForSignal()
+{
+    m_signals.async_wait([this](const asio::error_code &ec, int number) {
+        if (ec) {
+            return;
         }
+        if (number == SIGHUP) {
+            reload();
+            waitForSignal();
+            return;
+        }
+        logEvent(LogLevel::Info, "stopped");
+        m_io.stop();
     });
-    tick();
+}
+
+void ExpertAgent::setReload(std::function<SettingsParse<ExpertAgentSettings>()> read)
+{
+    m_readSettings = std::move(read);
+}
+
+void ExpertAgent::reload()
+{
+    if (!m_readSettings) {
+        return;
+    }
+    const auto parse = m_readSettings();
+    if (!parse.faults.empty()) {
+        logEvent(LogLevel::Error,
+                 "settings rejected, those in force stay",
+                 {{"setting", parse.faults.front().name}, {"expected", parse.faults.front().allowed}});
+        return;
+    }
+    const auto &next = parse.settings;
+    if (next.peer != m_settings.peer || next.domain != m_settings.domain) {
+        logEvent(LogLevel::Warning, "addresses and the failure domain change only with a restart");
+    }
+    if (next.store != m_settings.store) {
+        m_settings.store = next.store;
+        m_configReader.setAddress(next.store);
+        m_serverReader.setAddress(next.store);
+    }
+    if (const auto config = balancerConfig(next); config != m_balancerConfig) {
+        m_balancerConfig = config;
+        // A new coordinator goes on with a switch that it finds under way.
+        m_coordinator.reset();
+    }
+    logEvent(LogLevel::Info, "settings reloaded", {{"store", m_settings.store}});
 }
 
 std::uint16_t ExpertAgent::port() const
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -31,10 +31,14 @@
     ExpertAgent(asio::io_context &io, const ExpertAgentSettings &settings, GatewayDialect dialect, RankDialect ranks);
 
     std::uint16_t port() const;
+    /** Called on SIGHUP; settings with faults change nothing. */
+    void setReload(std::function<SettingsParse<ExpertAgentSettings>()> read);
 
 private:
     using NewsHandler = std::function<void(Result<GroupNews>)>;
 
+    void waitForSignal();
+    void reload();
     void tick();
     void onConfig(const StoreChange &change);
     void onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
@@ -80,6 +84,7 @@
     TimePoint m_checkOwnAt{};
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
+    std::function<SettingsParse<ExpertAgentSettings>()> m_readSettings;
 };
 
 } // namespace turmericline
--- a/src/expert_balancer.h
+++ b/src/expert_balancer.h
@@ -18,6 +18,8 @@
     double smallestGain = 0.06; ///< Part by which a new map must lower the skew.
     /** Copies that a rank makes at most for one change of map, for every four layers: the time that it takes. */
     std::size_t copiesPerSwitch = 1;
+
+    bool operator==(const ExpertBalancerConfig &) const = default;
 };
 
 struct MapProposal
