--- a/fakes/fake_platform.cpp
+++ b/fakes/fake_platform.cpp
@@ -1,5 +1,6 @@
 #include "fake_platform.h"
 
+#include <asio/post.hpp>
 #include <openssl/evp.h>
 
 #include <algorithm>
@@ -145,7 +146,14 @@
 
 FakeReplica::FakeReplica(asio::io_context &io)
     : FakeServer(io, 0)
+    , m_io(io)
+{
+}
+
+void FakeReplica::crashOn(std::string body, std::function<void()> onCrash)
 {
+    m_crashBody = std::move(body);
+    m_onCrash = std::move(onCrash);
 }
 
 void FakeReplica::handle(HttpRequest request, ResponderPtr responder)
@@ -158,6 +166,11 @@
     }
     const HttpHeaders headers{{"Attempt-Id", it.headers["attempt-id"]}, {"Replica-Signature", "signed"}};
     m_received.push_back(std::move(it));
+    if (m_onCrash && m_received.back().body == m_crashBody) {
+        hold(std::move(responder));
+        asio::post(m_io, m_onCrash);
+        return;
+    }
     switch (m_mode) {
     case Mode::Answer:
         responder->reply(200, headers, "answer");
--- a/fakes/fake_platform.h
+++ b/fakes/fake_platform.h
@@ -4,6 +4,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <string>
@@ -78,6 +79,9 @@
         m_mode = mode;
     }
 
+    /** A request with body @p body gets no answer; @p onCrash is called after it was received, to end this replica. */
+    void crashOn(std::string body, std::function<void()> onCrash);
+
     const std::vector<ReplicaRequest> &received() const
     {
         return m_received;
@@ -93,6 +97,9 @@
     void handle(HttpRequest request, ResponderPtr responder) override;
     void connectionClosed(std::uint64_t connection) override;
 
+    asio::io_context &m_io;
+    std::string m_crashBody;
+    std::function<void()> m_onCrash;
     Mode m_mode = Mode::Answer;
     std::vector<ReplicaRequest> m_received;
     std::size_t m_unansweredCount = 0;
