Stop a request that crashes servers at all gateways after three servers

After three had ended it was sent to servers again and again, and each time another one ended; everyone else's requests on those servers and their group failed with it.

Cause: the limit on such requests has to hold over all gateways and over time, but a gateway kept what it knew of a request only until that attempt of the caller ended. The class of fault: a bound that is promised for the whole fleet, kept by processes that share nothing. The product's own entries have had the bound from the start; the programs on the platform were built without it.

Change: crash_detector decides that a server ended (it accepts no connection after an attempt without an answer, starts anew, or loses its announcement) and under which requests; the gateways keep the table of src/suspect.h and exchange its reports by gossip.h, which needs only the seeds of the settings. From three servers on each gateway answers 503 with Retry-After, or 502 if this very attempt may have run. Restarted and suspended gateways ask for all reports.

The same selection of reports and the same status rows stood in suspect_sync.cpp for the own fleet and are shared now.

--- a/src/crash_probe.cpp
+++ b/src/crash_probe.cpp
@@ -2,8 +2,6 @@
 
 #include "address.h"
 
-#include "h2_client.h"
-
 #include <asio/ip/address.hpp>
 
 namespace turmericline {
@@ -41,8 +39,13 @@
 };
 
 CrashProbe::CrashProbe(asio::io_context &io, const std::string &backendUrl)
+    : CrashProbe(io, endpointOf(backendUrl))
+{
+}
+
+CrashProbe::CrashProbe(asio::io_context &io, std::optional<asio::ip::tcp::endpoint> server)
     : m_io(io)
-    , m_server(endpointOf(backendUrl))
+    , m_server(std::move(server))
 {
 }
 
--- a/src/crash_probe.h
+++ b/src/crash_probe.h
@@ -18,6 +18,8 @@
     using Handler = std::function<void(bool isListening)>;
 
     CrashProbe(asio::io_context &io, const std::string &backendUrl);
+    /** A server without an endpoint counts as listening. */
+    CrashProbe(asio::io_context &io, std::optional<asio::ip::tcp::endpoint> server);
 
     /**
      * Connects after a short delay, closes the connection and calls @p done. A server whose URL has no IP address
@@ -33,7 +35,7 @@
     void end(const std::shared_ptr<Attempt> &attempt, bool isListening);
 
     asio::io_context &m_io;
-    std::optional<asio::ip::tcp::endpoint> m_server; ///< Empty if the URL has no IP address.
+    std::optional<asio::ip::tcp::endpoint> m_server;
     std::shared_ptr<Attempt> m_attempt;
 };
 
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -22,6 +22,14 @@
 constexpr double maxRetryAfterShare = 0.32;
 constexpr std::chrono::milliseconds minRetryAfter{200};
 constexpr int firstServerError = 500;
+/** An attempt that was stopped after a shorter silence says nothing about the server. */
+constexpr std::chrono::milliseconds minSuspectSilence{500};
+const std::string suspectReason = "the request is suspected of crashing backend servers";
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
 
 } // namespace
 
@@ -54,11 +62,17 @@
 bool Exchange::shouldRetry(TimePoint now, const HttpHead &head)
 {
     return head.status >= firstServerError && m_request.rule->isIdempotent() && hasAttemptsLeft()
+           && suspectDecision(now).action != SuspectAction::Refuse
            && now + m_request.rule->latencyTarget / 2 < effectiveDeadline()
            && m_context.backends.choose(now, m_request.service, m_tried, m_context.random)
            && retries().tryAcquireRetry(now);
 }
 
+SuspectDecision Exchange::suspectDecision(TimePoint now) const
+{
+    return m_context.suspects.decide(m_request.fingerprint, suspectTime(now));
+}
+
 TimePoint Exchange::effectiveDeadline() const
 {
     const auto timeout = m_request.rule->timeout;
@@ -92,6 +106,10 @@
         giveUp(now, actions);
         return;
     }
+    if (const auto decision = suspectDecision(now); decision.action == SuspectAction::Refuse) {
+        refuseSuspect(now, decision, actions);
+        return;
+    }
     const auto pick = m_context.backends.choose(now, m_request.service, m_tried, m_context.random);
     if (!pick) {
         if (m_summary.reason.empty()) {
@@ -137,7 +155,6 @@
         retryOrGiveUp(now, {Verdict::NotRun, fault, "the server refused with " + std::to_string(head.status)}, actions);
         return actions;
     }
-    const bool isSuccess = head.status >= 200 && head.status < 300;
     if (!fields.isSigned || head.header("Content-Encoding")) {
         actions.emplace_back(StopAttempt{});
         retryOrGiveUp(now,
@@ -148,7 +165,7 @@
         return actions;
     }
     if (m_isCommitted) {
-        if (!isSuccess) {
+        if (!isSuccess(head.status)) {
             actions.emplace_back(StopAttempt{});
             retryOrGiveUp(now,
                           {Verdict::MayHaveRun,
@@ -225,6 +242,9 @@
         return actions;
     }
     m_context.backends.onSuccess(m_server->id);
+    if (isSuccess(m_head->status)) {
+        m_summary.hasClearedSuspicion = m_context.suspects.complete(m_request.fingerprint);
+    }
     m_context.backends.onEnd(m_server->id);
     m_server.reset();
     m_summary.verdict = Verdict::Run;
@@ -274,8 +294,11 @@
     const auto since = [now](TimePoint start) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
     };
-    m_summary.failedAttempts.push_back(
-        {*m_server, verdict, fault, std::move(reason), since(m_attemptAt), since(m_lastBytesAt)});
+    const auto silence = since(m_lastBytesAt);
+    if (verdict == Verdict::MayHaveRun && (fault || silence >= minSuspectSilence)) {
+        m_context.crashes.onUnanswered(now, *m_server, m_request.fingerprint);
+    }
+    m_summary.failedAttempts.push_back({*m_server, verdict, fault, std::move(reason), since(m_attemptAt), silence});
 }
 
 void Exchange::retryOrGiveUp(TimePoint now, const AttemptFailure &failure, ExchangeActions &actions)
@@ -326,6 +349,19 @@
     finish(actions, Reply{503, std::move(reason), std::max(retryAfter, 1ms)});
 }
 
+/** The caller may come back when the suspicion ends; until then, every gateway refuses the request. */
+void Exchange::refuseSuspect(TimePoint now, const SuspectDecision &decision, ExchangeActions &actions)
+{
+    m_summary.reason = suspectReason;
+    if (m_isCommitted || m_mayHaveRun) {
+        giveUp(now, actions);
+        return;
+    }
+    m_summary.status = 503;
+    m_summary.verdict = Verdict::NotRun;
+    finish(actions, Reply{503, suspectReason, decision.retryAfter});
+}
+
 ExchangeActions Exchange::onTick(TimePoint now)
 {
     ExchangeActions actions;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "backend_table.h"
+#include "crash_detector.h"
 #include "event_splitter.h"
 #include "exchange_type.h"
 #include "retry_window.h"
+#include "suspect.h"
 
 #include <map>
 #include <random>
@@ -16,6 +18,8 @@
     BackendTable &backends;
     std::map<std::string, RetryWindow, std::less<>> &retries; ///< By service.
     RetryWindowConfig retryConfig;
+    SuspectTable &suspects;
+    CrashDetector &crashes;
     std::mt19937_64 &random;
 };
 
@@ -60,6 +64,7 @@
         std::string reason; ///< Of the last failure.
         std::optional<std::chrono::milliseconds> firstByte;
         std::vector<FailedAttempt> failedAttempts;
+        bool hasClearedSuspicion = false; ///< The request was suspected of crashing servers, and has completed.
     };
     const Summary &summary() const
     {
@@ -71,6 +76,7 @@
     bool mayRetry() const;
     bool hasAttemptsLeft() const;
     bool shouldRetry(TimePoint now, const HttpHead &head);
+    SuspectDecision suspectDecision(TimePoint now) const;
     TimePoint effectiveDeadline() const;
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
@@ -80,6 +86,7 @@
     void retryOrGiveUp(TimePoint now, const AttemptFailure &failure, ExchangeActions &actions);
     void giveUp(TimePoint now, ExchangeActions &actions);
     void refuse(TimePoint now, std::string reason, ExchangeActions &actions);
+    void refuseSuspect(TimePoint now, const SuspectDecision &decision, ExchangeActions &actions);
     void finish(ExchangeActions &actions, ExchangeAction last);
     void commit(TimePoint now, std::optional<std::uint64_t> length, ExchangeActions &actions);
     RetryWindow &retries();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -98,6 +98,7 @@
     , m_dialect(std::move(dialect))
     , m_random(randomSeed())
     , m_backends(settings.domain)
+    , m_suspects(io, {settings.suspectHold, settings.peer, settings.seeds}, m_backends, m_random)
     , m_registry(m_dialect, m_backends)
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort))
     , m_pool(io)
@@ -138,7 +139,8 @@
     };
     handlers.status = [this] {
         return nlohmann::json{{"config_version", m_table ? m_table->config().version : 0},
-                              {"requests_in_flight", m_calls.size()}};
+                              {"requests_in_flight", m_calls.size()},
+                              {"suspects", m_suspects.status()}};
     };
     const auto ready = endpointOf(settings.ready);
     m_readyServer = std::make_unique<OpsServer>(io, ready.address().to_string(), ready.port(), handlers);
@@ -157,6 +159,11 @@
     return m_acceptor.local_endpoint().port();
 }
 
+std::uint16_t Gateway::peerPort() const
+{
+    return m_suspects.port();
+}
+
 std::uint16_t Gateway::readyPort() const
 {
     return m_readyServer->port();
@@ -206,14 +213,15 @@
         refuse(*connection, caller, *reply);
         return;
     }
-    auto call = std::make_shared<GatewayCall>(std::get<ExchangeRequest>(std::move(routed)),
-                                              ExchangeContext{m_backends, m_retries, m_retryConfig, m_random},
-                                              m_dialect,
-                                              m_pool,
-                                              connection,
-                                              [this](const GatewayCall &ended) {
-                                                  onCallEnd(ended);
-                                              });
+    auto call = std::make_shared<GatewayCall>(
+        std::get<ExchangeRequest>(std::move(routed)),
+        ExchangeContext{m_backends, m_retries, m_retryConfig, m_suspects.table(), m_suspects.detector(), m_random},
+        m_dialect,
+        m_pool,
+        connection,
+        [this](const GatewayCall &ended) {
+            onCallEnd(ended);
+        });
     m_calls.insert(call);
     call->start(now);
 }
@@ -259,6 +267,9 @@
               {"total_ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()},
               {"config_version", request.table->config().version},
               {"reason", summary.reason}});
+    if (summary.hasClearedSuspicion) {
+        logEvent(LogLevel::Info, "suspicion cleared", {{"fingerprint", formatFingerprint(request.fingerprint)}});
+    }
     // Erased later, since a method of the call is still executing.
     asio::post(m_io, [this, ended = std::const_pointer_cast<GatewayCall>(call.shared_from_this())] {
         m_calls.erase(ended);
@@ -313,6 +324,7 @@
     m_configReader.tick(now);
     m_serverReader.tick(now);
     m_registry.tick(now);
+    m_suspects.tick(now);
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
@@ -399,13 +411,14 @@
     }
     auto &next = parse.settings;
     if (next.listen != m_settings.listen || next.ready != m_settings.ready || next.domain != m_settings.domain
-        || next.metrics != m_settings.metrics) {
+        || next.metrics != m_settings.metrics || next.peer != m_settings.peer) {
         logEvent(LogLevel::Warning, "changes of listening addresses and the failure domain need a restart");
     }
     m_settings.revokeBound = next.revokeBound;
     m_settings.grace = next.grace;
     m_settings.rotation = next.rotation;
     m_settings.maxConnections = next.maxConnections;
+    m_suspects.setSeeds(next.seeds);
     m_retryConfig = retryConfig(next);
     if (next.store != m_settings.store) {
         m_settings.store = next.store;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway_metrics.h"
 #include "gateway_route.h"
 #include "gateway_settings.h"
+#include "gateway_suspects.h"
 #include "ops_server.h"
 #include "rank_load_reader.h"
 #include "store_reader.h"
@@ -34,6 +35,8 @@
 
     std::uint16_t port() const;
     std::uint16_t readyPort() const;
+    /** Port for messages of other gateways; 0 if none are exchanged. */
+    std::uint16_t peerPort() const;
     /** Sets the function that rereads the settings on SIGHUP or a changed file. Invalid settings are not applied. */
     void setReload(std::function<SettingsParseResult<GatewaySettings>()> read);
 
@@ -58,6 +61,7 @@
     GatewayDialect m_dialect;
     std::mt19937_64 m_random;
     BackendTable m_backends;
+    GatewaySuspects m_suspects;
     BackendRegistry m_registry;
     RankLoadReader m_rankLoads;
     BackendPool m_pool;
--- a/src/gateway_main.cpp
+++ b/src/gateway_main.cpp
@@ -26,7 +26,8 @@
         [](SettingsParseResult<GatewaySettings> &) {},
         &GatewaySettings::name,
         [](const Gateway &gateway) {
-            return nlohmann::json{{"port", gateway.port()}, {"ready_port", gateway.readyPort()}};
+            return nlohmann::json{
+                {"port", gateway.port()}, {"ready_port", gateway.readyPort()}, {"peer_port", gateway.peerPort()}};
         },
         argc,
         argv,
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -13,7 +13,10 @@
     std::string ready;
     std::string metrics;
     std::string store;
+    std::string peer;
+    std::vector<std::string> seeds;
     std::string logLevel;
+    std::chrono::milliseconds suspectHold{};
     std::chrono::milliseconds revokeBound{};
     std::chrono::milliseconds grace{};
     std::chrono::milliseconds rotation{};
@@ -24,13 +27,29 @@
     std::uint64_t agentPort = 0;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 15> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 18> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
     {"ready", &GatewaySettings::ready, "", "IP:PORT of the readiness check", true, 0, 0, checkAddress},
     {"metrics", &GatewaySettings::metrics, "", "IP:PORT of the operators' port", false, 0, 0, checkAddress},
     {"store", &GatewaySettings::store, "", "IP:PORT of the platform's store", true, 0, 0, checkAddress},
+    {"peer",
+     &GatewaySettings::peer,
+     "",
+     "IP:PORT for messages of other gateways; without it, crash reports are not exchanged",
+     false,
+     0,
+     0,
+     checkAddress},
+    {"seeds", &GatewaySettings::seeds, "", "IP:PORT of some gateways, as their --peer", false, 0, 0, checkAddress},
+    {"suspect-hold-ms",
+     &GatewaySettings::suspectHold,
+     "300000",
+     "time for which a request that crashed servers is refused after its last crash",
+     false,
+     1'000,
+     86'400'000},
     {"log-level", &GatewaySettings::logLevel, "info", "debug, info, warning or error", false, 0, 0, checkLogLevel},
     {"revoke-bound-ms",
      &GatewaySettings::revokeBound,
--- /dev/null
+++ b/src/gateway_suspects.cpp
@@ -0,0 +1,231 @@
+#include "gateway_suspects.h"
+
+#include "address.h"
+#include "log.h"
+#include "suspect_codec.h"
+
+namespace turmericline {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds callTimeout{500};
+/** The steady clock stands still while the machine is suspended, so the gossip cannot see the time that passed. */
+constexpr std::chrono::milliseconds minSuspension{500};
+constexpr std::size_t maxMessageBytes = 64U << 10U;
+constexpr std::size_t maxConnections = 512;
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+const std::string messagePackType = "application/msgpack";
+
+SuspectSettings suspectSettings(std::chrono::milliseconds hold)
+{
+    SuspectSettings settings;
+    settings.hold = hold;
+    // Gateways are often cut off from all servers of a failure domain, which is no evidence against a request.
+    settings.domainLimit = settings.totalLimit;
+    return settings;
+}
+
+HttpServerConfig serverConfig(const std::string &listen)
+{
+    const auto endpoint = parseEndpoint(listen);
+    if (!endpoint) {
+        throw std::invalid_argument("malformed address " + listen);
+    }
+    HttpServerConfig config;
+    config.address = endpoint->address().to_string();
+    config.port = endpoint->port();
+    config.maxBodyBytes = maxMessageBytes;
+    config.maxConnections = maxConnections;
+    config.readTimeout = 30s;
+    return config;
+}
+
+Result<GossipMessage> readReply(const std::optional<HttpReply> &reply, const std::string &reason)
+{
+    if (!reply) {
+        return Result<GossipMessage>::fail(reason);
+    }
+    if (reply->status != statusOk) {
+        return Result<GossipMessage>::fail("status " + std::to_string(reply->status));
+    }
+    return decodeGossip(reply->body);
+}
+
+void logReports(const std::vector<CrashReport> &reports, const SuspectTable &table, TimePoint now)
+{
+    for (const auto &it : reports) {
+        logEvent(LogLevel::Info,
+                 it.isCleared ? "suspicion cleared by another gateway" : "request suspected by another gateway",
+                 {{"fingerprint", formatFingerprint(it.fingerprint)},
+                  {"server", it.server},
+                  {"server_start_ms", it.incarnation},
+                  {"crash_age_ms", it.age.count()},
+                  {"action", nameOf(suspectActionNames, table.decide(it.fingerprint, suspectTime(now)).action)}});
+    }
+}
+
+} // namespace
+
+GatewaySuspects::GatewaySuspects(asio::io_context &io,
+                                 const GatewaySuspectSettings &settings,
+                                 const BackendTable &servers,
+                                 std::mt19937_64 &random)
+    : m_io(io)
+    , m_servers(servers)
+    , m_table(suspectSettings(settings.hold))
+    , m_caller(io)
+{
+    if (!settings.listen.empty()) {
+        listen(settings.listen, settings.seeds, random);
+    }
+}
+
+void GatewaySuspects::listen(const std::string &address, std::vector<std::string> seeds, std::mt19937_64 &random)
+{
+    m_server = std::make_unique<HttpServer>(
+        m_io,
+        serverConfig(address),
+        [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            onRequest(request, *responder);
+        });
+    auto ownAddress = address.substr(0, address.rfind(':') + 1) + std::to_string(m_server->port());
+    m_gossip.emplace(std::move(ownAddress), std::move(seeds), m_table, random);
+}
+
+std::uint16_t GatewaySuspects::port() const
+{
+    return m_server ? m_server->port() : 0;
+}
+
+void GatewaySuspects::setSeeds(std::vector<std::string> seeds)
+{
+    if (m_gossip) {
+        m_gossip->setSeeds(std::move(seeds));
+    }
+}
+
+void GatewaySuspects::tick(TimePoint now)
+{
+    std::erase_if(m_probes, [](const auto &it) {
+        return !it.second->isRunning();
+    });
+    for (const auto &it : m_detector.takeServersToProbe(now)) {
+        probe(it);
+    }
+    for (const auto &it : m_detector.checkAnnouncements(now, m_servers)) {
+        recordEnd(now, it);
+    }
+    m_caller.tick(now);
+    if (m_gossip) {
+        checkForSuspension(now);
+        for (const auto &it : m_gossip->tick(now)) {
+            call(now, it);
+        }
+    }
+}
+
+void GatewaySuspects::checkForSuspension(TimePoint now)
+{
+    const auto suspendedTime = BootClock::now().time_since_epoch() - now.time_since_epoch();
+    if (suspendedTime - m_suspendedTime > minSuspension) {
+        m_gossip->onSuspended();
+    }
+    m_suspendedTime = suspendedTime;
+}
+
+void GatewaySuspects::onRequest(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.method != "POST" || request.path != gossipTarget) {
+        responder.reply(statusNotFound, {}, "not found\n");
+        return;
+    }
+    const auto message = decodeGossip(request.body);
+    if (!message) {
+        logEvent(LogLevel::Warning, "rejected a message of another gateway", {{"reason", message.reason}});
+        responder.reply(statusBadRequest, {}, message.reason + "\n");
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto received = m_gossip->onCall(now, *message.value);
+    logReports(received.newReports, m_table, now);
+    responder.reply(statusOk, {{"Content-Type", messagePackType}}, encodeGossip(received.answer));
+}
+
+void GatewaySuspects::call(TimePoint now, const GossipCall &call)
+{
+    m_caller.post(now,
+                  call.address,
+                  std::string(gossipTarget),
+                  messagePackType,
+                  encodeGossip(call.message),
+                  callTimeout,
+                  [this, address = call.address](const std::optional<HttpReply> &reply, const std::string &reason) {
+                      onReply(address, reply, reason);
+                  });
+}
+
+void GatewaySuspects::onReply(const std::string &address,
+                              const std::optional<HttpReply> &reply,
+                              const std::string &reason)
+{
+    const auto message = readReply(reply, reason);
+    if (!message) {
+        logEvent(LogLevel::Debug, "no answer from a gateway", {{"peer", address}, {"reason", message.reason}});
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    logReports(m_gossip->onAnswer(now, *message.value), m_table, now);
+}
+
+void GatewaySuspects::probe(const ServerIncarnation &server)
+{
+    const auto *current = m_servers.find(server.id);
+    const bool isSameIncarnation = current != nullptr && current->record.startTimeMs == server.startTimeMs;
+    if (!isSameIncarnation || m_probes.contains(server.id)) {
+        return;
+    }
+    auto &probe = m_probes[server.id];
+    probe = std::make_unique<CrashProbe>(m_io, parseEndpoint(current->record.address));
+    probe->start([this, server](bool isListening) {
+        if (isListening) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (const auto end = m_detector.onUnreachable(now, server)) {
+            recordEnd(now, *end);
+        }
+    });
+}
+
+void GatewaySuspects::recordEnd(TimePoint now, const ServerEnd &end)
+{
+    const auto incarnation = static_cast<std::uint64_t>(end.server.startTimeMs);
+    m_table.recordCrash(end.requests, end.server.id, incarnation, end.server.domain, suspectTime(now));
+    for (const auto &it : end.requests) {
+        logEvent(LogLevel::Warning,
+                 "server ended under a request",
+                 {{"fingerprint", formatFingerprint(it)},
+                  {"server", end.server.id},
+                  {"server_start_ms", end.server.startTimeMs},
+                  {"evidence", nameOf(endEvidenceNames, end.evidence)},
+                  {"unanswered_requests", end.requests.size()},
+                  {"action", nameOf(suspectActionNames, m_table.decide(it, suspectTime(now)).action)}});
+    }
+    if (m_gossip) {
+        m_gossip->onNewReports();
+    }
+}
+
+nlohmann::json GatewaySuspects::status() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto status = describeSuspects(m_table, suspectTime(now));
+    status["live_gateways"] = m_gossip ? m_gossip->livePeerCount(now) : 0;
+    return status;
+}
+
+} // namespace turmericline
--- /dev/null
+++ b/src/gateway_suspects.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "crash_detector.h"
+#include "crash_probe.h"
+#include "gossip.h"
+#include "http_caller.h"
+#include "http_server.h"
+
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+struct GatewaySuspectSettings
+{
+    std::chrono::milliseconds hold{}; ///< A suspicion ends this long after its last crash.
+    std::string listen; ///< "IP:PORT" for messages of other gateways; without it, nothing is exchanged.
+    std::vector<std::string> seeds; ///< "IP:PORT" of some gateways.
+};
+
+/**
+ * A gateway's knowledge of requests that crash backend servers. Probes servers that broke off attempts, exchanges crash
+ * reports with other gateways, and logs what it learns.
+ */
+class GatewaySuspects
+{
+public:
+    GatewaySuspects(asio::io_context &io,
+                    const GatewaySuspectSettings &settings,
+                    const BackendTable &servers,
+                    std::mt19937_64 &random);
+
+    SuspectTable &table()
+    {
+        return m_table;
+    }
+
+    CrashDetector &detector()
+    {
+        return m_detector;
+    }
+
+    /** Port for messages of other gateways; 0 if nothing is exchanged. */
+    std::uint16_t port() const;
+    void setSeeds(std::vector<std::string> seeds);
+    void tick(TimePoint now);
+    nlohmann::json status() const;
+
+private:
+    void listen(const std::string &address, std::vector<std::string> seeds, std::mt19937_64 &random);
+    void onRequest(const HttpRequest &request, HttpResponder &responder);
+    void call(TimePoint now, const GossipCall &call);
+    void onReply(const std::string &address, const std::optional<HttpReply> &reply, const std::string &reason);
+    void probe(const ServerIncarnation &server);
+    void recordEnd(TimePoint now, const ServerEnd &end);
+    void checkForSuspension(TimePoint now);
+
+    asio::io_context &m_io;
+    const BackendTable &m_servers;
+    SuspectTable m_table;
+    CrashDetector m_detector;
+    std::map<std::string, std::unique_ptr<CrashProbe>> m_probes; ///< By server.
+    HttpCaller m_caller;
+    std::unique_ptr<HttpServer> m_server; ///< Null if nothing is exchanged, as m_gossip.
+    std::optional<Gossip> m_gossip;
+    std::chrono::nanoseconds m_suspendedTime{}; ///< Time that this machine has been suspended since it started.
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/gossip.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gossip_codec.h"
+#include "suspect.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace turmericline {
+
+/** A message to send to another gateway, which answers with a message. */
+struct GossipCall
+{
+    std::string address; ///< "IP:PORT".
+    GossipMessage message;
+};
+
+/**
+ * Decides when this gateway sends crash reports to which other gateways. Once a second it sends a message to a random
+ * live peer, and one to a seed or peer that was silent. New reports are sent at once to a few peers, which do the same,
+ * so that a report reaches all gateways in a few hops. The caller does all input and output.
+ */
+class Gossip
+{
+public:
+    /** @p ownAddress: "IP:PORT" at which other gateways reach this one. */
+    Gossip(std::string ownAddress, std::vector<std::string> seeds, SuspectTable &suspects, std::mt19937_64 &random);
+
+    void setSeeds(std::vector<std::string> seeds);
+    /** Has the reports that were recorded since the last tick sent at the next one. */
+    void onNewReports();
+    /** Has the next calls ask for all reports, after a time in which this process may have missed some. */
+    void onSuspended();
+
+    std::vector<GossipCall> tick(TimePoint now);
+    /** Result of a received message. */
+    struct Received
+    {
+        std::vector<CrashReport> newReports; ///< Reports that this gateway did not know.
+        GossipMessage answer;
+    };
+    Received onCall(TimePoint now, const GossipMessage &message);
+    /** Handles the answer to a call; returns the reports that this gateway did not know. */
+    std::vector<CrashReport> onAnswer(TimePoint now, const GossipMessage &message);
+    std::size_t livePeerCount(TimePoint now) const;
+
+private:
+    std::vector<CrashReport> merge(TimePoint now, const GossipMessage &message);
+    GossipMessage makeMessage(TimePoint now, std::vector<CrashReport> reports) const;
+
+    std::string m_ownAddress;
+    SuspectTable &m_suspects;
+    std::mt19937_64 &m_random;
+    PeerList m_peers;
+    TimePoint m_nextRoundAt{};
+    TimePoint m_lastAnswerAt{};
+    bool m_hasNewReports = false;
+};
+
+} // namespace turmericline
--- /dev/null
+++ b/src/gossip_codec.cpp
@@ -0,0 +1,88 @@
+#include "gossip_codec.h"
+
+#include "address.h"
+#include "suspect_codec.h"
+
+namespace turmericline {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** Must be raised when the meaning of the message changes; messages with other numbers are rejected. */
+constexpr int formatNumber = 1;
+constexpr std::size_t maxPeersPerMessage = 128;
+constexpr std::size_t maxReportsPerMessage = 512;
+
+PeerAge decodePeer(const Json &json)
+{
+    PeerAge peer{json.at(0).get<std::string>(), std::chrono::milliseconds(json.at(1).get<std::uint32_t>())};
+    if (!parseEndpoint(peer.address)) {
+        peer.address.clear();
+    }
+    return peer;
+}
+
+Result<GossipMessage> decodeFields(const Json &json)
+{
+    if (json.at("format").get<int>() != formatNumber) {
+        return Result<GossipMessage>::fail("unknown format number");
+    }
+    GossipMessage message;
+    message.sender = json.at("sender").get<std::string>();
+    if (!parseEndpoint(message.sender)) {
+        return Result<GossipMessage>::fail("the sender's address is malformed");
+    }
+    message.wantsAllReports = json.at("wants_all").get<bool>();
+    const auto &peers = json.at("peers");
+    const auto &reports = json.at("reports");
+    if (peers.size() > maxPeersPerMessage || reports.size() > maxReportsPerMessage) {
+        return Result<GossipMessage>::fail("too many entries");
+    }
+    for (const auto &it : peers) {
+        auto peer = decodePeer(it);
+        if (peer.address.empty()) {
+            return Result<GossipMessage>::fail("the address of a peer is malformed");
+        }
+        message.peers.push_back(std::move(peer));
+    }
+    for (const auto &it : reports) {
+        auto report = decodeReport(it);
+        if (!report) {
+            return Result<GossipMessage>::fail("a crash report is malformed");
+        }
+        message.reports.push_back(std::move(*report));
+    }
+    return Result<GossipMessage>::ok(std::move(message));
+}
+
+} // namespace
+
+std::string encodeGossip(const GossipMessage &message)
+{
+    auto peers = Json::array();
+    for (const auto &it : message.peers) {
+        peers.push_back(Json::array({it.address, it.age.count()}));
+    }
+    auto reports = Json::array();
+    for (const auto &it : message.reports) {
+        reports.push_back(encodeReport(it));
+    }
+    const auto bytes = Json::to_msgpack({{"format", formatNumber},
+                                         {"sender", message.sender},
+                                         {"wants_all", message.wantsAllReports},
+                                         {"peers", std::move(peers)},
+                                         {"reports", std::move(reports)}});
+    return {bytes.begin(), bytes.end()};
+}
+
+Result<GossipMessage> decodeGossip(std::string_view bytes)
+{
+    try {
+        return decodeFields(Json::from_msgpack(bytes.begin(), bytes.end()));
+    } catch (const Json::exception &error) {
+        return Result<GossipMessage>::fail(error.what());
+    }
+}
+
+} // namespace turmericline
--- a/src/suspect.cpp
+++ b/src/suspect.cpp
@@ -151,15 +151,20 @@
     return {SuspectAction::RunAlone, {}};
 }
 
-void SuspectTable::complete(const Fingerprint &fingerprint)
+bool SuspectTable::complete(const Fingerprint &fingerprint)
 {
-    if (const auto it = m_suspects.find(fingerprint); it != m_suspects.end()) {
-        // Cleared reports are kept for a while: uncleared copies may still arrive, and other processes need the update.
-        for (auto &crash : it->second) {
-            crash.sends = crash.isCleared ? crash.sends : 0;
-            crash.isCleared = true;
-        }
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end()) {
+        return false;
+    }
+    // Cleared reports are kept for a while: uncleared copies may still arrive, and other processes need the update.
+    bool hasCleared = false;
+    for (auto &crash : it->second) {
+        hasCleared |= !crash.isCleared;
+        crash.sends = crash.isCleared ? crash.sends : 0;
+        crash.isCleared = true;
     }
+    return hasCleared;
 }
 
 bool SuspectTable::isReportable(const Crashes &crashes, Age now) const
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -35,8 +35,8 @@
     /** Decides whether a request with this fingerprint may run. */
     SuspectDecision decide(const Fingerprint &fingerprint, Age now) const;
 
-    /** Clears all known reports of a fingerprint, after a request with it has completed. */
-    void complete(const Fingerprint &fingerprint);
+    /** Clears all known reports of a fingerprint, after a request with it has completed; returns whether it had any. */
+    bool complete(const Fingerprint &fingerprint);
 
     /** Reports about one fingerprint, to be sent with a request that has it. */
     std::vector<CrashReport> reportsOf(const Fingerprint &fingerprint, Age now) const;
--- a/src/suspect_codec.cpp
+++ b/src/suspect_codec.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t halfDigits = 16;
 constexpr std::size_t maxNameBytes = 64; ///< The same limit as for names in the settings and the document.
 constexpr std::size_t fieldCount = 7;
+constexpr std::size_t reportsPerMessage = 16;
+/** Leaves 400 of the 1,200 bytes of a gossip message for other data. */
+constexpr std::size_t reportBytesPerMessage = 800;
+constexpr std::size_t statusRows = 100;
 
 bool readHex(std::string_view text, std::uint64_t &n)
 {
@@ -78,4 +82,31 @@
                        value[6].get<bool>()};
 }
 
+std::vector<CrashReport> reportsForMessage(SuspectTable &table, Age now)
+{
+    std::size_t used = 0;
+    return table.nextReports(reportsPerMessage, now, [&used](const CrashReport &report) {
+        const auto size = json::to_msgpack(encodeReport(report)).size();
+        if (used + size > reportBytesPerMessage) {
+            return false;
+        }
+        used += size;
+        return true;
+    });
+}
+
+json describeSuspects(const SuspectTable &table, Age now)
+{
+    auto rows = json::array();
+    for (const auto &it : table.recentReports(statusRows, now)) {
+        rows.push_back({{"fingerprint", formatFingerprint(it.fingerprint)},
+                        {"server", it.server},
+                        {"domain", it.domain},
+                        {"age_s", std::chrono::duration_cast<std::chrono::seconds>(it.age).count()},
+                        {"cleared", it.isCleared},
+                        {"action", nameOf(suspectActionNames, table.decide(it.fingerprint, now).action)}});
+    }
+    return {{"fingerprints", table.size()}, {"crashes", rows}};
+}
+
 } // namespace turmericline
--- a/src/suspect_codec.h
+++ b/src/suspect_codec.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include "suspect_type.h"
+#include "suspect.h"
 
 #include <nlohmann/json.hpp>
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmericline {
 
@@ -19,4 +20,9 @@
 /** Decodes a report; returns nothing if it is invalid. */
 std::optional<CrashReport> decodeReport(const nlohmann::json &value);
 
+/** Returns the reports for a message to another process: at most 16, and 800 bytes as MessagePack. */
+std::vector<CrashReport> reportsForMessage(SuspectTable &table, Age now);
+/** Returns the number of fingerprints and the 100 latest crashes, for operators. */
+nlohmann::json describeSuspects(const SuspectTable &table, Age now);
+
 } // namespace turmericline
--- a/src/suspect_sync.cpp
+++ b/src/suspect_sync.cpp
@@ -8,10 +8,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t gossipReports = 16;
-/** Leaves 400 of the 1,200 bytes of a gossip message for other data. */
-constexpr std::size_t gossipBytes = 800;
-constexpr std::size_t statusRows = 100;
 /** Larger messages are ignored, to bound the work per message; other processes send fewer reports. */
 constexpr std::size_t maxReportsPerMessage = 256;
 
@@ -22,19 +18,6 @@
     return settings;
 }
 
-std::string_view nameOfAction(SuspectAction action)
-{
-    switch (action) {
-    case SuspectAction::Run:
-        return "run";
-    case SuspectAction::RunAlone:
-        return "run-alone";
-    case SuspectAction::Refuse:
-        return "refuse";
-    }
-    return {};
-}
-
 } // namespace
 
 SuspectSync::SuspectSync(std::chrono::milliseconds hold)
@@ -122,17 +105,9 @@
 {
     m_table.expire(now());
     auto list = json::array();
-    std::size_t used = 0;
-    m_table.nextReports(gossipReports, now(), [&](const CrashReport &report) {
-        auto encoded = encodeReport(report);
-        const auto size = json::to_msgpack(encoded).size();
-        if (used + size > gossipBytes) {
-            return false;
-        }
-        used += size;
-        list.push_back(std::move(encoded));
-        return true;
-    });
+    for (const auto &it : reportsForMessage(m_table, now())) {
+        list.push_back(encodeReport(it));
+    }
     return list;
 }
 
@@ -157,17 +132,7 @@
 
 json SuspectSync::status() const
 {
-    auto rows = json::array();
-    for (const auto &it : recent(statusRows)) {
-        const auto decision = m_table.decide(it.fingerprint, now());
-        rows.push_back({{"fingerprint", formatFingerprint(it.fingerprint)},
-                        {"server", it.server},
-                        {"domain", it.domain},
-                        {"age_s", std::chrono::duration_cast<std::chrono::seconds>(it.age).count()},
-                        {"cleared", it.isCleared},
-                        {"action", nameOfAction(decision.action)}});
-    }
-    return {{"fingerprints", m_table.size()}, {"crashes", rows}};
+    return describeSuspects(m_table, now());
 }
 
 } // namespace turmericline
--- a/src/suspect_type.h
+++ b/src/suspect_type.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "name_table.h"
 #include "ticket_type.h"
+#include "time_type.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -41,6 +43,18 @@
     Refuse,
 };
 
+inline constexpr std::array<NamedValue<SuspectAction>, 3> suspectActionNames{{
+    {SuspectAction::Run, "run"},
+    {SuspectAction::RunAlone, "run-alone"},
+    {SuspectAction::Refuse, "refuse"},
+}};
+
+/** Time for the suspect table of a process that uses the steady clock. */
+inline Age suspectTime(TimePoint now)
+{
+    return std::chrono::duration_cast<Age>(now.time_since_epoch());
+}
+
 struct SuspectDecision
 {
     SuspectAction action = SuspectAction::Run;
--- a/tests/exchange_fixture.h
+++ b/tests/exchange_fixture.h
@@ -12,6 +12,8 @@
     turmericline::BackendTable backends{"d1"};
     std::map<std::string, turmericline::RetryWindow, std::less<>> retries;
     turmericline::RetryWindowConfig retryConfig{std::chrono::seconds(10), 0.2, 10};
+    turmericline::SuspectTable suspects{turmericline::SuspectSettings{}};
+    turmericline::CrashDetector crashes;
     turmericline::RoutingRule rule;
 
     ExchangeFixture()
@@ -39,7 +41,16 @@
         request.rule = &rule;
         request.service = "s";
         request.arrived = now;
-        return {std::move(request), {backends, retries, retryConfig, random}};
+        return {std::move(request), {backends, retries, retryConfig, suspects, crashes, random}};
+    }
+
+    /** Records that servers x1 to x@p n, none of those in the table, have crashed under the request. */
+    void recordCrashes(std::size_t n)
+    {
+        for (std::size_t i = 1; i <= n; ++i) {
+            const auto server = "x" + std::to_string(i);
+            suspects.recordCrash({turmericline::Fingerprint{}}, server, 1, server, turmericline::suspectTime(now));
+        }
     }
 
     static turmericline::HttpHead head(int status)
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -45,6 +45,8 @@
                                      "--listen=127.0.0.1:0",
                                      "--ready=127.0.0.1:0",
                                      "--store=127.0.0.1:" + std::to_string(m_store.port()),
+                                     "--peer=127.0.0.1:0",
+                                     "--seeds=" + seed(i),
                                      "--log-level=error"});
         while (readiness(i) != 200) {
         }
@@ -85,6 +87,17 @@
                         + "}");
     }
 
+    /** Address of a running gateway other than @p i, or of none. */
+    std::string seed(std::size_t i)
+    {
+        for (std::size_t n = 0; n < m_gateways.size(); ++n) {
+            if (n != i && m_gateways[n]) {
+                return "127.0.0.1:" + m_gateways[n]->port("peer_port");
+            }
+        }
+        return "127.0.0.1:9";
+    }
+
     int readiness(std::size_t i)
     {
         RawCaller caller(m_io, m_gateways[i]->port("ready_port"));
--- a/tests/process_crashing_request_test.cpp
+++ b/tests/process_crashing_request_test.cpp
@@ -7,6 +7,7 @@
 {
     CPPUNIT_TEST_SUITE(CrashingRequestTest);
     CPPUNIT_TEST(isRefusedByAllGatewaysAfterThreeCrashes);
+    CPPUNIT_TEST(isRefusedByRestartedGateways);
     CPPUNIT_TEST_SUITE_END();
 
     /** Three servers, and three more attempts before all gateways refuse the request. */
@@ -32,6 +33,16 @@
         }
     }
 
+    /** Status of a harmless request, once gateway @p i has learned that the servers have started again. */
+    int harmlessStatus(std::size_t i)
+    {
+        auto answer = m_fleet->call(i, "harmless");
+        while (answer.status == 503 && !isSuspectRefusal(answer)) {
+            answer = m_fleet->call(i, "harmless");
+        }
+        return answer.status;
+    }
+
 public:
     void setUp() override
     {
@@ -52,7 +63,17 @@
         const auto answer = m_fleet->call(0, GatewayFleet::crashingBody);
         CPPUNIT_ASSERT(!answer.header("Retry-After").empty());
         for (std::size_t i = 0; i < gatewayCount; ++i) {
-            CPPUNIT_ASSERT_EQUAL(200, m_fleet->call(i, "harmless").status);
+            CPPUNIT_ASSERT_EQUAL(200, harmlessStatus(i));
+        }
+    }
+
+    /** A gateway loses what it knows when it restarts, and must learn it from the others. */
+    void isRefusedByRestartedGateways()
+    {
+        sendUntilRefused();
+        for (std::size_t i = 0; i < gatewayCount; ++i) {
+            m_fleet->startGateway(i);
+            sendUntilRefused();
         }
     }
 };
--- /dev/null
+++ b/tests/unit_crash_detector_test.cpp
@@ -0,0 +1,126 @@
+#include "crash_detector.h"
+#include "suspect.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace turmericline;
+using namespace std::chrono_literals;
+
+/** Guards against servers that count as ended although they are slow or leave as planned, and against missed ends. */
+class CrashDetectorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashDetectorTest);
+    CPPUNIT_TEST(silentServerDoesNotCount);
+    CPPUNIT_TEST(unreachableServerCountsForItsRequests);
+    CPPUNIT_TEST(serverIsProbedOnceASecond);
+    CPPUNIT_TEST(laterStartCounts);
+    CPPUNIT_TEST(withdrawnAnnouncementCounts);
+    CPPUNIT_TEST(leavingServerDoesNotCount);
+    CPPUNIT_TEST(oldAttemptsDoNotCount);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now{1'000s};
+    BackendTable m_servers{"d1"};
+    CrashDetector m_detector;
+    const ServerIncarnation m_server{"a", 1, "d1"};
+    const ServerIncarnation m_other{"b", 1, "d1"};
+
+    static Fingerprint request(const std::string &body)
+    {
+        return fingerprintOf("w", "t", body);
+    }
+
+    void announce(const std::string &id, std::int64_t startTimeMs, bool isLeaving = false)
+    {
+        BackendRecord record;
+        record.id = id;
+        record.service = "s";
+        record.address = "127.0.0.1:1";
+        record.domain = "d1";
+        record.startTimeMs = startTimeMs;
+        record.isLeaving = isLeaving;
+        m_servers.upsert(record);
+    }
+
+    /** Checks that exactly server "a" has ended, under request "x". */
+    void expectEnd(EndEvidence evidence)
+    {
+        const auto ends = m_detector.checkAnnouncements(m_now, m_servers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().server == m_server);
+        CPPUNIT_ASSERT(ends.front().evidence == evidence);
+        CPPUNIT_ASSERT(ends.front().requests == std::vector{request("x")});
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+    }
+
+public:
+    void setUp() override
+    {
+        announce("a", 1);
+        announce("b", 1);
+    }
+
+    void silentServerDoesNotCount()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now + 5s, m_servers).empty());
+    }
+
+    void unreachableServerCountsForItsRequests()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        m_detector.onUnanswered(m_now, m_server, request("y"));
+        m_detector.onUnanswered(m_now, m_server, request("y"));
+        m_detector.onUnanswered(m_now, m_other, request("z"));
+        const auto end = m_detector.onUnreachable(m_now, m_server);
+        CPPUNIT_ASSERT((end->requests == std::vector{request("x"), request("y")}));
+        CPPUNIT_ASSERT(!m_detector.onUnreachable(m_now, m_server));
+        CPPUNIT_ASSERT(m_detector.onUnreachable(m_now, m_other)->requests == std::vector{request("z")});
+    }
+
+    void serverIsProbedOnceASecond()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        m_detector.onUnanswered(m_now, m_server, request("y"));
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now) == std::vector{m_server});
+        m_detector.onUnanswered(m_now, m_server, request("z"));
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now + 100ms).empty());
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now + 1s) == std::vector{m_server});
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now + 3s).empty());
+    }
+
+    void laterStartCounts()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        m_detector.onUnanswered(m_now, m_other, request("z"));
+        announce("a", 2);
+        expectEnd(EndEvidence::Restarted);
+    }
+
+    void withdrawnAnnouncementCounts()
+    {
+        m_detector.onUnanswered(m_now, m_other, request("z"));
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        m_servers.remove("a");
+        expectEnd(EndEvidence::Withdrawn);
+    }
+
+    void leavingServerDoesNotCount()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        announce("a", 1, true);
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+        m_servers.remove("a");
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+    }
+
+    void oldAttemptsDoNotCount()
+    {
+        m_detector.onUnanswered(m_now, m_server, request("x"));
+        m_servers.remove("a");
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now + 60s, m_servers).empty());
+        CPPUNIT_ASSERT(!m_detector.onUnreachable(m_now + 60s, m_server));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashDetectorTest);
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -26,6 +26,10 @@
     CPPUNIT_TEST(downServiceIsRejectedImmediately);
     CPPUNIT_TEST(callerDisconnectStopsAttempt);
     CPPUNIT_TEST(stalledGroupIsNotRetried);
+    CPPUNIT_TEST(requestThatCrashedServersIsRefused);
+    CPPUNIT_TEST(requestThatCrashesThirdServerIsNotRetried);
+    CPPUNIT_TEST(completedRequestIsNoLongerSuspected);
+    CPPUNIT_TEST(unansweredAttemptsAreReported);
     CPPUNIT_TEST_SUITE_END();
 
     ExchangeFixture m_fixture;
@@ -208,6 +212,63 @@
         CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(actions) == nullptr);
         CPPUNIT_ASSERT_EQUAL(503, ExchangeFixture::find<Reply>(actions)->status);
     }
+
+    void requestThatCrashedServersIsRefused()
+    {
+        m_fixture.recordCrashes(3);
+        auto exchange = m_fixture.make();
+        const auto actions = exchange.start(m_fixture.now);
+        CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(actions) == nullptr);
+        const auto *reply = ExchangeFixture::find<Reply>(actions);
+        CPPUNIT_ASSERT_EQUAL(503, reply->status);
+        CPPUNIT_ASSERT(reply->retryAfter == 300s);
+        CPPUNIT_ASSERT(exchange.summary().verdict == Verdict::NotRun);
+    }
+
+    /** The attempt may have run, so the caller must not be told that the request has not run. */
+    void requestThatCrashesThirdServerIsNotRetried()
+    {
+        m_fixture.rule.kind = RouteKind::Safe;
+        m_fixture.recordCrashes(2);
+        auto exchange = m_fixture.make();
+        CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(exchange.start(m_fixture.now)) != nullptr);
+        m_fixture.recordCrashes(3);
+        const auto actions = exchange.onFailure(m_fixture.now, reset());
+        CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(actions) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(502, ExchangeFixture::find<Reply>(actions)->status);
+    }
+
+    void completedRequestIsNoLongerSuspected()
+    {
+        m_fixture.recordCrashes(2);
+        auto exchange = m_fixture.make();
+        exchange.start(m_fixture.now);
+        exchange.onHead(m_fixture.now, ExchangeFixture::head(200), ExchangeFixture::signedFields());
+        exchange.onEnd(m_fixture.now);
+        CPPUNIT_ASSERT(exchange.summary().hasClearedSuspicion);
+        m_fixture.recordCrashes(3);
+        CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(m_fixture.make().start(m_fixture.now)) != nullptr);
+    }
+
+    void unansweredAttemptsAreReported()
+    {
+        auto exchange = m_fixture.make();
+        exchange.start(m_fixture.now);
+        exchange.onFailure(m_fixture.now, reset());
+        const auto &failed = exchange.summary().failedAttempts;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, failed.size());
+        CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now) == std::vector{failed.front().server});
+
+        // A caller that leaves at once says nothing about the server, unlike one that leaves after a long silence.
+        auto hasty = m_fixture.make();
+        hasty.start(m_fixture.now);
+        hasty.onCallerDisconnect(m_fixture.now + 100ms);
+        CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).empty());
+        auto patient = m_fixture.make();
+        patient.start(m_fixture.now);
+        patient.onCallerDisconnect(m_fixture.now + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeTest);
