Share the retry allowance of the fleet among the gateways that are known

Each gateway could send 4 retries per window beyond the percentage, whatever their number: with 94 retries allowed in all, 24 gateways exceed it (docs/limits.md had it as 'assumes 9 to 45 gateways').

Gossip tells how many gateways there are, so each one takes its part of six tenths of the fleet's slack, which the settings give, and 4 at most. Peers count until they are forgotten after 120 s, since those behind a cut go on sending.

A change of the limits on SIGHUP did not reach windows that existed; now it does (limitsCanChange).

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -87,7 +87,9 @@
 
 RetryWindow &Exchange::retries()
 {
-    return m_context.retries.try_emplace(m_request.service, m_context.retryConfig).first->second;
+    auto &window = m_context.retries.try_emplace(m_request.service, m_context.retryConfig).first->second;
+    window.setLimits(m_context.retryConfig.ratio, m_context.retryConfig.allowance);
+    return window;
 }
 
 ExchangeActions Exchange::start(TimePoint now)
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -49,11 +49,12 @@
     return *endpoint;
 }
 
-RetryWindowConfig retryConfig(const GatewaySettings &settings)
+RetryWindowConfig retryConfig(const GatewaySettings &settings, std::size_t gateways)
 {
     return {settings.retryWindow,
             static_cast<double>(settings.retryPercent) / 100,
-            static_cast<double>(settings.retryAllowance)};
+            retryAllowance(
+                static_cast<double>(settings.retryAllowance), static_cast<double>(settings.retrySlack), gateways)};
 }
 
 /** Names the server of each failed attempt, so that attempts of all copies of a request can be counted from the logs. */
@@ -102,7 +103,7 @@
     , m_registry(m_dialect, m_backends)
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort))
     , m_pool(io)
-    , m_retryConfig(retryConfig(settings))
+    , m_retryConfig(retryConfig(settings, 1))
     , m_configReader(
           io,
           m_dialect,
@@ -328,6 +329,7 @@
     m_serverReader.tick(now);
     m_registry.tick(now);
     m_suspects.tick(now);
+    m_retryConfig = retryConfig(m_settings, m_suspects.gatewayCount());
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
@@ -422,7 +424,10 @@
     m_settings.rotation = next.rotation;
     m_settings.maxConnections = next.maxConnections;
     m_suspects.setSeeds(next.seeds);
-    m_retryConfig = retryConfig(next);
+    m_settings.retryWindow = next.retryWindow;
+    m_settings.retryPercent = next.retryPercent;
+    m_settings.retryAllowance = next.retryAllowance;
+    m_settings.retrySlack = next.retrySlack;
     if (next.store != m_settings.store) {
         m_settings.store = next.store;
         m_configReader.setAddress(next.store);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -23,11 +23,12 @@
     std::chrono::milliseconds retryWindow{};
     std::uint64_t retryPercent = 0;
     std::uint64_t retryAllowance = 0;
+    std::uint64_t retrySlack = 0;
     std::uint64_t maxConnections = 0;
     std::uint64_t agentPort = 0;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 18> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 19> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
@@ -77,7 +78,14 @@
     {"retry-allowance",
      &GatewaySettings::retryAllowance,
      "4",
-     "retries of this instance per window beyond that percentage",
+     "largest number of retries of this instance per window beyond that percentage",
+     false,
+     0,
+     1'000'000},
+    {"retry-slack",
+     &GatewaySettings::retrySlack,
+     "0",
+     "retries of all gateways per window beyond that percentage, shared among the known ones; 0 for no limit",
      false,
      0,
      1'000'000},
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -234,6 +234,11 @@
     }
 }
 
+std::size_t GatewaySuspects::gatewayCount() const
+{
+    return m_gossip ? m_gossip->knownPeerCount() + 1 : 1;
+}
+
 nlohmann::json GatewaySuspects::status() const
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/gateway_suspects.h
+++ b/src/gateway_suspects.h
@@ -54,6 +54,8 @@
     /** Probes the servers that left attempts unanswered; called when a request has failed, ahead of the next tick. */
     void probeServers(TimePoint now);
     nlohmann::json status() const;
+    /** Number of gateways that this one knows, itself included. */
+    std::size_t gatewayCount() const;
 
 private:
     void listen(const std::string &address, std::vector<std::string> seeds, std::mt19937_64 &random);
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -109,4 +109,9 @@
     return m_peers.liveCount(now);
 }
 
+std::size_t Gossip::knownPeerCount() const
+{
+    return m_peers.knownCount();
+}
+
 } // namespace turmericline
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -44,6 +44,7 @@
     /** Handles the answer to a call; returns the reports that this gateway did not know. */
     std::vector<CrashReport> onAnswer(TimePoint now, const GossipMessage &message);
     std::size_t livePeerCount(TimePoint now) const;
+    std::size_t knownPeerCount() const;
 
 private:
     std::vector<CrashReport> merge(TimePoint now, const GossipMessage &message);
--- a/src/peer_list.cpp
+++ b/src/peer_list.cpp
@@ -11,7 +11,7 @@
 constexpr std::chrono::seconds liveTime{5};
 /** Long enough for a gateway that was cut off to find the others again. */
 constexpr std::chrono::seconds forgetTime{120};
-constexpr std::size_t maxPeers = 512;
+constexpr std::size_t maxPeers = 4'096;
 
 std::vector<std::string> sampleOf(const std::vector<std::string> &all, std::size_t n, std::mt19937_64 &random)
 {
@@ -96,6 +96,11 @@
     return peers;
 }
 
+std::size_t PeerList::knownCount() const
+{
+    return m_aliveAt.size();
+}
+
 std::size_t PeerList::liveCount(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(m_aliveAt.begin(), m_aliveAt.end(), [&](const auto &it) {
--- a/src/peer_list.h
+++ b/src/peer_list.h
@@ -40,6 +40,8 @@
     /** Returns up to @p n random peers that were alive recently, with their ages, to be sent to another gateway. */
     std::vector<PeerAge> sample(TimePoint now, std::size_t n, std::mt19937_64 &random) const;
     std::size_t liveCount(TimePoint now) const;
+    /** Number of peers that are not forgotten yet, which includes those that a cut separates from this gateway. */
+    std::size_t knownCount() const;
 
 private:
     bool isLive(TimePoint now, const std::string &address) const;
--- a/src/retry_window.cpp
+++ b/src/retry_window.cpp
@@ -1,12 +1,27 @@
 #include "retry_window.h"
 
+#include <algorithm>
+
 namespace turmericline {
 
+namespace {
+
+/** The rest is for gateways that do not know of each other yet, and for those that restart with an empty window. */
+constexpr double usedSlackShare = 0.6;
+
+} // namespace
+
 RetryWindow::RetryWindow(const RetryWindowConfig &config)
     : m_config(config)
 {
 }
 
+void RetryWindow::setLimits(double ratio, double allowance)
+{
+    m_config.ratio = ratio;
+    m_config.allowance = allowance;
+}
+
 std::int64_t RetryWindow::indexOf(TimePoint now) const
 {
     return now.time_since_epoch() / (m_config.window / subWindowCount);
@@ -45,4 +60,12 @@
     return true;
 }
 
+double retryAllowance(double largest, double fleetSlack, std::size_t gateways)
+{
+    if (fleetSlack == 0) {
+        return largest;
+    }
+    return std::min(largest, usedSlackShare * fleetSlack / static_cast<double>(std::max<std::size_t>(gateways, 1)));
+}
+
 } // namespace turmericline
--- a/src/retry_window.h
+++ b/src/retry_window.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace turmericline {
@@ -27,6 +28,8 @@
 public:
     explicit RetryWindow(const RetryWindowConfig &config = {});
 
+    /** Applies a new ratio and allowance to the counts so far. */
+    void setLimits(double ratio, double allowance);
     void onRequest(TimePoint now);
     /** Uses one retry of the budget; returns false if it is exhausted. */
     bool tryAcquireRetry(TimePoint now);
@@ -49,4 +52,10 @@
     std::array<SubWindow, subWindowCount + 1> m_subWindows;
 };
 
+/**
+ * Returns the allowance of one of @p gateways gateways: @p largest, or less if all of them together would take more than
+ * a share of @p fleetSlack, the retries per window that the whole fleet may send beyond the ratio. 0 means no such limit.
+ */
+double retryAllowance(double largest, double fleetSlack, std::size_t gateways);
+
 } // namespace turmericline
--- a/tests/fuzz_retry_window_test.cpp
+++ b/tests/fuzz_retry_window_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(RetryWindowTest);
     CPPUNIT_TEST(staysWithinBudgetInAnySpan);
     CPPUNIT_TEST(budgetGrowsWithRequests);
+    CPPUNIT_TEST(limitsCanChange);
+    CPPUNIT_TEST(allowancesOfAllGatewaysStayWithinSlack);
     CPPUNIT_TEST_SUITE_END();
 
     static void dropBefore(std::deque<TimePoint> &times, TimePoint before)
@@ -63,6 +65,28 @@
         CPPUNIT_ASSERT(!window.tryAcquireRetry(now + 1s));
         CPPUNIT_ASSERT(window.tryAcquireRetry(now + 12s));
     }
+
+    void limitsCanChange()
+    {
+        RetryWindow window({10s, 0, 1});
+        const TimePoint now{100s};
+        CPPUNIT_ASSERT(window.tryAcquireRetry(now));
+        window.setLimits(0, 2);
+        CPPUNIT_ASSERT(window.tryAcquireRetry(now));
+        window.setLimits(0, 1);
+        CPPUNIT_ASSERT(!window.tryAcquireRetry(now));
+    }
+
+    /** A fixed allowance of each gateway exceeds the slack of the fleet once there are enough of them. */
+    void allowancesOfAllGatewaysStayWithinSlack()
+    {
+        for (const std::size_t gateways : {1U, 9U, 45U, 300U, 1'900U}) {
+            const auto all = static_cast<double>(gateways) * retryAllowance(4, 94, gateways);
+            CPPUNIT_ASSERT(all <= 94);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4, retryAllowance(4, 94, 9), 0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4, retryAllowance(4, 0, 300), 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryWindowTest);
