Reserve the ports of the fleet's processes while they are down

Cause: the kernel assigned the ports from the range of outgoing connections, and while a process was down any other one could be given its port for as long as it liked.

Now the fleet binds a socket to each port before a process first starts, and keeps it. The loops that tried a restart again and again are gone, from the fleet and from process.configuration.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -25,8 +25,6 @@
 namespace {
 
 constexpr std::string_view callerKey = "fleet-key";
-/** A restarted process may find its port in use for a short time by an outgoing connection of another process. */
-constexpr int maxRestartAttempts = 50;
 
 void require(bool condition, const std::string &message)
 {
@@ -35,6 +33,18 @@
     }
 }
 
+/** Flags of a program that take the ports at which it listens. */
+std::vector<std::string> portFlagsOf(const std::string &program)
+{
+    if (program.ends_with("turmericline-entry")) {
+        return {"--port", "--ops-port", "--peer-port"};
+    }
+    if (program.ends_with("turmericline-agent")) {
+        return {"--port", "--ops-port"};
+    }
+    return {"--port"};
+}
+
 std::string makeDirectory()
 {
     auto pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
@@ -194,23 +204,32 @@
 {
     auto &process = m_processes[name];
     process.command = std::move(command);
+    if (process.reservations.empty()) {
+        reservePorts(process);
+    }
     return spawn(name, process);
 }
 
+/**
+ * The ports come from the range of outgoing connections, so while a process is down, any other one could be given its
+ * port. Sockets that are bound to a port and do not listen prevent that, and do not prevent the process from listening.
+ */
+void Fleet::reservePorts(Process &process)
+{
+    for (const auto &it : portFlagsOf(process.command.front())) {
+        asio::ip::tcp::socket socket(m_io, asio::ip::tcp::v4());
+        ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+        socket.set_option(asio::socket_base::reuse_address(true));
+        socket.bind({asio::ip::address_v4::loopback(), 0});
+        const auto port = std::to_string(socket.local_endpoint().port());
+        process.portArguments.insert(process.portArguments.end(), {it, port});
+        process.reservations.push_back(std::move(socket));
+    }
+}
+
 void Fleet::start(const std::string &name)
 {
-    auto &process = m_processes.at(name);
-    const auto original = process.command;
-    for (const auto &[field, value] : process.ports.items()) {
-        auto option = field == "ops_port" ? "--ops-port" : field == "peer_port" ? "--peer-port" : "--port";
-        process.command.insert(process.command.end(), {option, std::to_string(value.get<int>())});
-    }
-    bool isStarted = false;
-    for (int i = 0; i < maxRestartAttempts && !isStarted; ++i) {
-        isStarted = spawn(name, process);
-    }
-    process.command = original;
-    require(isStarted, name + " did not restart:\n" + log(name));
+    require(spawn(name, m_processes.at(name)), name + " did not restart:\n" + log(name));
 }
 
 bool Fleet::spawn(const std::string &name, Process &process)
@@ -222,8 +241,10 @@
     posix_spawn_file_actions_adddup2(&actions, pipeFds[1], STDOUT_FILENO);
     const auto path = m_directory + "/" + name + ".log";
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    auto command = process.command;
+    command.insert(command.end(), process.portArguments.begin(), process.portArguments.end());
     std::vector<char *> argv;
-    for (auto &it : process.command) {
+    for (auto &it : command) {
         argv.push_back(it.data());
     }
     argv.push_back(nullptr);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -3,6 +3,7 @@
 #include "http_client.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include <sys/types.h>
@@ -66,7 +67,10 @@
 
     /** Restarts a process with its original arguments on its previous ports; waits until it announces them. */
     void start(const std::string &name);
-    /** Starts an additional process; returns false if it exits before it announces its ports. */
+    /**
+     * Starts an additional process, or a stopped one with other arguments on its previous ports; returns false if it
+     * exits before it announces its ports.
+     */
     bool tryStart(const std::string &name, Arguments command);
     void signal(const std::string &name, int number) const;
     /** Sends SIGKILL and waits until the process has exited. */
@@ -129,21 +133,24 @@
     struct Process
     {
         Arguments command;
+        Arguments portArguments; ///< Flags with the ports that are reserved for it.
+        std::vector<asio::ip::tcp::socket> reservations; ///< Bound to these ports, so that no other program gets them.
         pid_t pid = 0; ///< 0 if not running.
         int exitCode = 0;
         nlohmann::json ports;
     };
 
     void startAll(const FleetOptions &options);
+    void reservePorts(Process &process);
     bool spawn(const std::string &name, Process &process);
     static bool reap(Process &process, int flags);
 
     std::string m_directory; ///< Directory of the logs.
     std::string m_peerKey;
     mutable std::size_t m_faultCount = 0;
+    asio::io_context m_io; ///< Declared before the sockets that use it.
     std::map<std::string, Process> m_processes;
     nlohmann::json m_document;
-    asio::io_context m_io;
     turmericline::HttpClient m_http;
 };
 
--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -144,18 +144,9 @@
     {
         auto command = m_commands.at(name);
         *std::next(std::ranges::find(command, "--config-url")) = configUrl;
-        for (const auto &[option, field] :
-             {std::pair{"--port", "port"}, {"--ops-port", "ops_port"}, {"--peer-port", "peer_port"}}) {
-            if (name.starts_with("entry") || std::string_view(field) != "peer_port") {
-                command.insert(command.end(), {option, std::to_string(m_fleet->port(name, field))});
-            }
-        }
         m_fleet->kill(name);
         m_seen.erase(name);
-        // An outgoing connection may temporarily occupy the port.
-        m_fleet->waitUntil([&] {
-            return m_fleet->tryStart(name, command);
-        });
+        CPPUNIT_ASSERT(m_fleet->tryStart(name, command));
     }
 
     static std::vector<std::string> processesOf(char domain)
