--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -47,11 +47,10 @@
         message.peers.push_back(std::move(peer));
     }
     for (const auto &it : reports) {
-        auto report = decodeReport(it);
-        if (!report) {
-            return Result<GossipMessage>::fail("a crash report is malformed");
+        // A report that is not understood does not keep the others from being used.
+        if (auto report = decodeReport(it)) {
+            message.reports.push_back(std::move(*report));
         }
-        message.reports.push_back(std::move(*report));
     }
     return Result<GossipMessage>::ok(std::move(message));
 }
--- a/tests/fuzz_gossip_test.cpp
+++ b/tests/fuzz_gossip_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(lateAttemptsAreBounded);
     CPPUNIT_TEST(withoutExchangeTheBoundIsBroken);
     CPPUNIT_TEST(decodesAnyBytes);
+    CPPUNIT_TEST(invalidReportDoesNotHideOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,17 @@
             RC_ASSERT(!decodeGossip(text));
         });
     }
+
+    void invalidReportDoesNotHideOthers()
+    {
+        GossipMessage message;
+        message.sender = "10.0.0.1:7000";
+        const auto fingerprint = fingerprintOf("w", "t", "b");
+        message.reports = {{fingerprint, "", 7, "d1", 20ms, false}, {fingerprint, "i-1", 7, "d1", 20ms, false}};
+        const auto decoded = decodeGossip(encodeGossip(message));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.value->reports.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), decoded.value->reports.front().server);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GossipFuzzTest);
--- a/tests/gossip_simulation.h
+++ b/tests/gossip_simulation.h
@@ -140,8 +140,10 @@
 
     void endServer(Gateway &gateway, bool isByCrashingRequest)
     {
+        constexpr std::size_t harmlessCount = 12;
         std::vector<Fingerprint> inFlight;
-        for (int n = 0; n < 12; ++n) {
+        inFlight.reserve(harmlessCount + 1);
+        for (std::size_t n = 0; n < harmlessCount; ++n) {
             inFlight.push_back(fingerprintOf("w", "POST /harmless", std::to_string(++m_requestCount)));
         }
         if (isByCrashingRequest) {
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -260,13 +260,13 @@
         CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now) == std::vector{failed.front().server});
 
         // A caller that leaves at once says nothing about the server, unlike one that leaves after a long silence.
-        auto hasty = m_fixture.make();
-        hasty.start(m_fixture.now);
-        hasty.onCallerDisconnect(m_fixture.now + 100ms);
+        auto early = m_fixture.make();
+        early.start(m_fixture.now);
+        early.onCallerDisconnect(m_fixture.now + 100ms);
         CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).empty());
-        auto patient = m_fixture.make();
-        patient.start(m_fixture.now);
-        patient.onCallerDisconnect(m_fixture.now + 1s);
+        auto late = m_fixture.make();
+        late.start(m_fixture.now);
+        late.onCallerDisconnect(m_fixture.now + 1s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).size());
     }
 };
