--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -5,6 +5,8 @@
 #include "raw_caller.h"
 #include "suspect_codec.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -81,11 +83,15 @@
         std::vector<std::unique_ptr<RawCaller>> callers;
         for (const auto i : gateways) {
             callers.push_back(std::make_unique<RawCaller>(m_io, m_gateways[i]->port()));
-            callers.back()->send("POST " + path + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a"
-                                 + std::to_string(++m_callCount) + "\r\nApi-Key: k\r\nContent-Length: "
-                                 + std::to_string(body.size()) + "\r\n\r\n" + body);
+            callers.back()->send(fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nAttempt-Id: a{}\r\nApi-Key: k\r\n"
+                                             "Content-Length: {}\r\n\r\n{}",
+                                             path,
+                                             ++m_callCount,
+                                             body.size(),
+                                             body));
         }
         std::vector<RawAnswer> answers;
+        answers.reserve(callers.size());
         for (const auto &it : callers) {
             answers.push_back(it->answer());
         }
