--- a/src/address.cpp
+++ b/src/address.cpp
@@ -37,4 +37,13 @@
     return asio::ip::tcp::endpoint(asio::ip::make_address(parsed.value->first), parsed.value->second);
 }
 
+asio::ip::tcp::endpoint requireEndpoint(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        throw std::invalid_argument("malformed address " + address);
+    }
+    return *endpoint;
+}
+
 } // namespace turmericline
--- a/src/agent_isolation.cpp
+++ b/src/agent_isolation.cpp
@@ -59,7 +59,7 @@
     if (decision.action == SuspectAction::Refuse) {
         call->retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter);
         call->refusalStatus = 422;
-        m_handlers.refuse(call, "the request is suspected of crashing backend servers");
+        m_handlers.refuse(call, std::string(suspectRefusalReason));
         return true;
     }
     if (AgentCall::Clock::now() >= call->deadline) {
--- a/src/entry_suspect.cpp
+++ b/src/entry_suspect.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::string_view refusalReason = "the request is suspected of crashing backend servers";
 constexpr std::chrono::milliseconds minSuspectRetryAfter{1'000};
 
 } // namespace
@@ -37,12 +36,12 @@
     const auto decision = m_context.suspects.decide(m_request.fingerprint);
     const auto after = std::max(std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter),
                                 m_retryAfter.value_or(minSuspectRetryAfter));
-    giveUp({422, "suspected_of_crashing", std::string(refusalReason), verdict, after});
+    giveUp({422, "suspected_of_crashing", std::string(suspectRefusalReason), verdict, after});
 }
 
 KeyedStep EntryCall::refuseKeyedSuspect()
 {
-    return m_keyed->refuse(refusalReason);
+    return m_keyed->refuse(suspectRefusalReason);
 }
 
 } // namespace turmericline
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -24,7 +24,6 @@
 constexpr int firstServerError = 500;
 /** An attempt that was stopped after a shorter silence says nothing about the server. */
 constexpr std::chrono::milliseconds minSuspectSilence{500};
-const std::string suspectReason = "the request is suspected of crashing backend servers";
 
 bool isSuccess(int status)
 {
@@ -87,9 +86,7 @@
 
 RetryWindow &Exchange::retries()
 {
-    auto &window = m_context.retries.try_emplace(m_request.service, m_context.retryConfig).first->second;
-    window.setLimits(m_context.retryConfig.ratio, m_context.retryConfig.allowance);
-    return window;
+    return m_context.retries.try_emplace(m_request.service, m_context.retryConfig).first->second;
 }
 
 ExchangeActions Exchange::start(TimePoint now)
@@ -333,10 +330,11 @@
         finish(actions, Reply{m_summary.status, m_summary.reason, std::nullopt});
         return;
     }
-    refuse(now, m_summary.reason, actions);
+    refuse(retryDelay(now), actions);
 }
 
-void Exchange::refuse(TimePoint now, std::string reason, ExchangeActions &actions)
+/** Time after which a caller may come back, if the request was refused for lack of a server. */
+std::chrono::milliseconds Exchange::retryDelay(TimePoint now) const
 {
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(effectiveDeadline() - now);
     // Jitter keeps the callers from retrying all at once. If the service is down, the longest delay that callers honour
@@ -345,23 +343,25 @@
     const auto maxDelay = std::chrono::duration_cast<std::chrono::milliseconds>(remaining * maxRetryAfterShare);
     const auto busyDelay = std::max(minRetryAfter, m_request.rule->latencyTarget);
     const auto baseDelay = m_context.backends.isDown(now, m_request.service) ? maxDelay : std::min(busyDelay, maxDelay);
-    const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(baseDelay * jitter);
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(baseDelay * jitter), 1ms);
+}
+
+void Exchange::refuse(std::chrono::milliseconds retryAfter, ExchangeActions &actions)
+{
     m_summary.status = 503;
     m_summary.verdict = Verdict::NotRun;
-    finish(actions, Reply{503, std::move(reason), std::max(retryAfter, 1ms)});
+    finish(actions, Reply{503, m_summary.reason, retryAfter});
 }
 
 /** The caller may come back when the suspicion ends; until then, every gateway refuses the request. */
 void Exchange::refuseSuspect(TimePoint now, const SuspectDecision &decision, ExchangeActions &actions)
 {
-    m_summary.reason = suspectReason;
+    m_summary.reason = suspectRefusalReason;
     if (m_isCommitted || m_mayHaveRun) {
         giveUp(now, actions);
-        return;
+    } else {
+        refuse(decision.retryAfter, actions);
     }
-    m_summary.status = 503;
-    m_summary.verdict = Verdict::NotRun;
-    finish(actions, Reply{503, suspectReason, decision.retryAfter});
 }
 
 ExchangeActions Exchange::onTick(TimePoint now)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -85,7 +85,8 @@
     void recordFailure(TimePoint now, Verdict verdict, std::optional<BackendFault> fault, std::string reason);
     void retryOrGiveUp(TimePoint now, const AttemptFailure &failure, ExchangeActions &actions);
     void giveUp(TimePoint now, ExchangeActions &actions);
-    void refuse(TimePoint now, std::string reason, ExchangeActions &actions);
+    std::chrono::milliseconds retryDelay(TimePoint now) const;
+    void refuse(std::chrono::milliseconds retryAfter, ExchangeActions &actions);
     void refuseSuspect(TimePoint now, const SuspectDecision &decision, ExchangeActions &actions);
     void finish(ExchangeActions &actions, ExchangeAction last);
     void commit(TimePoint now, std::optional<std::uint64_t> length, ExchangeActions &actions);
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds peerTimeout{250};
 /** For calls to another agent about a block of ranks, for which it calls the agents of the other ranks itself. */
 constexpr std::chrono::milliseconds blockTimeout{300};
-/** Gateways and other agents keep one or two connections each. */
-constexpr std::size_t maxPeerConnections = 512;
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
@@ -47,17 +45,6 @@
     return config;
 }
 
-HttpServerConfig peerServerConfig(const asio::ip::tcp::endpoint &endpoint)
-{
-    HttpServerConfig config;
-    config.address = endpoint.address().to_string();
-    config.port = endpoint.port();
-    config.maxBodyBytes = maxPeerBytes;
-    config.maxConnections = maxPeerConnections;
-    config.readTimeout = 30s;
-    return config;
-}
-
 ExpertBalancerConfig balancerConfig(const ExpertAgentSettings &settings)
 {
     ExpertBalancerConfig config;
@@ -124,7 +111,7 @@
           m_random)
     , m_caller(io)
     , m_peerServer(io,
-                   peerServerConfig(*parseEndpoint(settings.peer)),
+                   peerServerConfig(requireEndpoint(settings.peer), maxPeerBytes),
                    [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                        onPeerRequest(request, responder);
                    })
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -40,15 +40,6 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-asio::ip::tcp::endpoint endpointOf(const std::string &address)
-{
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        throw std::invalid_argument("malformed address " + address);
-    }
-    return *endpoint;
-}
-
 RetryWindowConfig retryConfig(const GatewaySettings &settings, std::size_t gateways)
 {
     return {settings.retryWindow,
@@ -122,7 +113,7 @@
               m_registry.apply(now, change, outage);
           },
           m_random)
-    , m_acceptor(io, endpointOf(settings.listen))
+    , m_acceptor(io, requireEndpoint(settings.listen))
     , m_timer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
 {
@@ -143,10 +134,10 @@
                               {"requests_in_flight", m_calls.size()},
                               {"suspects", m_suspects.status()}};
     };
-    const auto ready = endpointOf(settings.ready);
+    const auto ready = requireEndpoint(settings.ready);
     m_readyServer = std::make_unique<OpsServer>(io, ready.address().to_string(), ready.port(), handlers);
     if (!settings.metrics.empty()) {
-        const auto ops = endpointOf(settings.metrics);
+        const auto ops = requireEndpoint(settings.metrics);
         m_opsServer = std::make_unique<OpsServer>(io, ops.address().to_string(), ops.port(), handlers);
     }
     logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"listen", settings.listen}});
@@ -329,7 +320,7 @@
     m_serverReader.tick(now);
     m_registry.tick(now);
     m_suspects.tick(now);
-    m_retryConfig = retryConfig(m_settings, m_suspects.gatewayCount());
+    updateRetryLimits();
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
@@ -352,6 +343,15 @@
     scheduleTick();
 }
 
+/** The allowance of this gateway depends on the number of gateways. */
+void Gateway::updateRetryLimits()
+{
+    m_retryConfig = retryConfig(m_settings, m_suspects.gatewayCount());
+    for (auto &[service, window] : m_retries) {
+        window.setLimits(m_retryConfig.ratio, m_retryConfig.allowance);
+    }
+}
+
 void Gateway::waitForSignal()
 {
     m_signals.async_wait([this](const asio::error_code &ec, int number) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -50,6 +50,7 @@
     void onCallEnd(const GatewayCall &call);
     ConfigFreshness configFreshness() const;
     bool isReady() const;
+    void updateRetryLimits();
     void waitForSignal();
     void onTerminate();
     void checkSettingsFile(TimePoint now);
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -6,15 +6,13 @@
 
 namespace turmericline {
 
-using namespace std::chrono_literals;
-
 namespace {
 
 constexpr std::chrono::milliseconds callTimeout{500};
 /** The steady clock stands still while the machine is suspended, so the gossip cannot see the time that passed. */
 constexpr std::chrono::milliseconds minSuspension{500};
+constexpr std::chrono::seconds expiryPeriod{10};
 constexpr std::size_t maxMessageBytes = 64U << 10U;
-constexpr std::size_t maxConnections = 512;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
@@ -29,21 +27,6 @@
     return settings;
 }
 
-HttpServerConfig serverConfig(const std::string &listen)
-{
-    const auto endpoint = parseEndpoint(listen);
-    if (!endpoint) {
-        throw std::invalid_argument("malformed address " + listen);
-    }
-    HttpServerConfig config;
-    config.address = endpoint->address().to_string();
-    config.port = endpoint->port();
-    config.maxBodyBytes = maxMessageBytes;
-    config.maxConnections = maxConnections;
-    config.readTimeout = 30s;
-    return config;
-}
-
 Result<GossipMessage> readReply(const std::optional<HttpReply> &reply, const std::string &reason)
 {
     if (!reply) {
@@ -55,7 +38,7 @@
     return decodeGossip(reply->body);
 }
 
-void logReports(const std::vector<CrashReport> &reports, const SuspectTable &table, TimePoint now)
+void logReports(TimePoint now, const std::vector<CrashReport> &reports, const SuspectTable &table)
 {
     for (const auto &it : reports) {
         logEvent(LogLevel::Info,
@@ -88,7 +71,7 @@
 {
     m_server = std::make_unique<HttpServer>(
         m_io,
-        serverConfig(address),
+        peerServerConfig(requireEndpoint(address), maxMessageBytes),
         [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
             onRequest(request, *responder);
         });
@@ -113,6 +96,10 @@
     std::erase_if(m_probes, [](const auto &it) {
         return !it.second->isRunning();
     });
+    if (now >= m_nextExpiryAt) {
+        m_nextExpiryAt = now + expiryPeriod;
+        m_table.expire(suspectTime(now));
+    }
     probeServers(now);
     for (const auto &it : m_detector.checkAnnouncements(now, m_servers)) {
         recordEnd(now, it);
@@ -164,7 +151,7 @@
     }
     const auto now = std::chrono::steady_clock::now();
     const auto received = m_gossip->onCall(now, *message.value);
-    logReports(received.newReports, m_table, now);
+    logReports(now, received.newReports, m_table);
     responder.reply(statusOk, {{"Content-Type", messagePackType}}, encodeGossip(received.answer));
 }
 
@@ -191,7 +178,7 @@
         return;
     }
     const auto now = std::chrono::steady_clock::now();
-    logReports(m_gossip->onAnswer(now, *message.value), m_table, now);
+    logReports(now, m_gossip->onAnswer(now, *message.value), m_table);
 }
 
 void GatewaySuspects::probe(const ServerIncarnation &server)
--- a/src/gateway_suspects.h
+++ b/src/gateway_suspects.h
@@ -75,6 +75,7 @@
     HttpCaller m_caller;
     std::unique_ptr<HttpServer> m_server; ///< Null if nothing is exchanged, as m_gossip.
     std::optional<Gossip> m_gossip;
+    TimePoint m_nextExpiryAt{};
     std::chrono::nanoseconds m_suspendedTime{}; ///< Time that this machine has been suspended since it started.
 };
 
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -49,7 +49,6 @@
     if (now >= m_nextRoundAt) {
         m_nextRoundAt = now + roundPeriod;
         m_peers.expire(now);
-        m_suspects.expire(suspectTime(now));
         if (addresses.empty()) {
             addresses = m_peers.chooseLive(now, 1, m_random);
         }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -357,6 +357,20 @@
            });
 }
 
+HttpServerConfig peerServerConfig(const asio::ip::tcp::endpoint &endpoint, std::size_t maxBodyBytes)
+{
+    // Other processes keep one or two connections each.
+    constexpr std::size_t maxPeerConnections = 512;
+    constexpr std::chrono::seconds peerReadTimeout{30};
+    HttpServerConfig config;
+    config.address = endpoint.address().to_string();
+    config.port = endpoint.port();
+    config.maxBodyBytes = maxBodyBytes;
+    config.maxConnections = maxPeerConnections;
+    config.readTimeout = peerReadTimeout;
+    return config;
+}
+
 std::string_view HttpRequest::header(std::string_view name) const
 {
     for (const auto &[key, value] : headers) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/ssl/context.hpp>
 
 #include <chrono>
@@ -69,6 +70,9 @@
     std::shared_ptr<asio::ssl::context> tls; ///< Plain TCP if null.
 };
 
+/** Returns the configuration of a server for calls of other processes of the system. */
+HttpServerConfig peerServerConfig(const asio::ip::tcp::endpoint &endpoint, std::size_t maxBodyBytes);
+
 /**
  * HTTP/1.1 server on an external io_context. Requests of one connection reach the handler one at a time: a pipelined
  * request waits for the response to the previous one, and is dropped if the connection closes first. With readsAhead
--- a/src/suspect_type.h
+++ b/src/suspect_type.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace turmericline {
@@ -49,6 +50,9 @@
     {SuspectAction::Refuse, "refuse"},
 }};
 
+/** Reason that callers and logs are given for SuspectAction::Refuse. */
+inline constexpr std::string_view suspectRefusalReason = "the request is suspected of crashing backend servers";
+
 /** Time for the suspect table of a process that uses the steady clock. */
 inline Age suspectTime(TimePoint now)
 {
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "child_process.h"
 #include "fake_platform.h"
-#include "raw_caller.h"
+#include "gateway_process.h"
 #include "suspect_codec.h"
 
 #include <fmt/format.h>
@@ -55,19 +54,8 @@
     void startGateway(std::size_t i)
     {
         m_gateways[i].reset();
-        m_gateways[i] = std::make_unique<ChildProcess>(
-            m_io,
-            "turmericline-gateway",
-            std::vector<std::string>{"--name=g" + std::to_string(i),
-                                     "--domain=d",
-                                     "--listen=127.0.0.1:0",
-                                     "--ready=127.0.0.1:0",
-                                     "--store=127.0.0.1:" + std::to_string(m_store.port()),
-                                     "--peer=127.0.0.1:0",
-                                     "--seeds=" + seed(i),
-                                     "--log-level=error"});
-        while (readiness(i) != 200) {
-        }
+        m_gateways[i] = std::make_unique<GatewayProcess>(
+            m_io, m_store.port(), std::vector<std::string>{"--peer=127.0.0.1:0", "--seeds=" + seed(i)});
     }
 
     /** Sends a request through gateway @p i. Servers that it ends have started again afterwards. */
@@ -82,7 +70,7 @@
     {
         std::vector<std::unique_ptr<RawCaller>> callers;
         for (const auto i : gateways) {
-            callers.push_back(std::make_unique<RawCaller>(m_io, m_gateways[i]->port()));
+            callers.push_back(std::make_unique<RawCaller>(m_io, m_gateways[i]->process().port()));
             callers.back()->send(fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nAttempt-Id: a{}\r\nApi-Key: k\r\n"
                                              "Content-Length: {}\r\n\r\n{}",
                                              path,
@@ -177,27 +165,15 @@
     {
         for (std::size_t n = 0; n < m_gateways.size(); ++n) {
             if (n != i && m_gateways[n]) {
-                return "127.0.0.1:" + m_gateways[n]->port("peer_port");
+                return "127.0.0.1:" + m_gateways[n]->process().port("peer_port");
             }
         }
         return "127.0.0.1:9";
     }
 
-    RawAnswer get(std::size_t i, const std::string &path)
-    {
-        RawCaller caller(m_io, m_gateways[i]->port("ready_port"));
-        caller.send("GET " + path + " HTTP/1.1\r\nHost: g\r\n\r\n");
-        return caller.answer();
-    }
-
-    int readiness(std::size_t i)
-    {
-        return get(i, "/v1/ready").status;
-    }
-
     std::size_t knownCrashes(std::size_t i, const std::string &fingerprint)
     {
-        const auto status = nlohmann::json::parse(get(i, "/status").body);
+        const auto status = nlohmann::json::parse(m_gateways[i]->get("/status").body);
         const auto &crashes = status.at("suspects").at("crashes");
         return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](const auto &it) {
             return it.at("fingerprint") == fingerprint;
@@ -208,7 +184,7 @@
     ServerEndMode m_mode;
     turmericline::fakes::FakeStore m_store;
     std::vector<Server> m_servers;
-    std::vector<std::unique_ptr<ChildProcess>> m_gateways;
+    std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
     std::size_t m_crashCount = 0;
     std::size_t m_callCount = 0;
     std::int64_t m_startTimeMs = 1'000;
--- a/tests/process_gateway_test.cpp
+++ b/tests/process_gateway_test.cpp
@@ -1,6 +1,5 @@
-#include "child_process.h"
 #include "fake_platform.h"
-#include "raw_caller.h"
+#include "gateway_process.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,7 +26,7 @@
     asio::io_context m_io;
     std::unique_ptr<fakes::FakeStore> m_store;
     std::unique_ptr<FakeReplica> m_replica;
-    std::unique_ptr<ChildProcess> m_gateway;
+    std::unique_ptr<GatewayProcess> m_gateway;
 
     static std::string config(int version, const std::string &key)
     {
@@ -54,28 +53,12 @@
         m_store->put("servers/i-1",
                      R"({"service":"s","address":"127.0.0.1:)" + std::to_string(m_replica->port())
                          + R"(","zone":"d","state":"ready"})");
-        std::vector<std::string> arguments{"--name=g",
-                                           "--domain=d",
-                                           "--listen=127.0.0.1:0",
-                                           "--ready=127.0.0.1:0",
-                                           "--store=127.0.0.1:" + std::to_string(m_store->port()),
-                                           "--log-level=error"};
-        arguments.insert(arguments.end(), more.begin(), more.end());
-        m_gateway = std::make_unique<ChildProcess>(m_io, "turmericline-gateway", arguments);
-        while (readiness() != 200) {
-        }
-    }
-
-    int readiness()
-    {
-        RawCaller caller(m_io, m_gateway->port("ready_port"));
-        caller.send("GET /v1/ready HTTP/1.1\r\nHost: g\r\n\r\n");
-        return caller.answer().status;
+        m_gateway = std::make_unique<GatewayProcess>(m_io, m_store->port(), more);
     }
 
     RawAnswer call(const std::string &message)
     {
-        RawCaller caller(m_io, m_gateway->port());
+        RawCaller caller(m_io, m_gateway->process().port());
         caller.send(message);
         return caller.answer();
     }
@@ -109,7 +92,7 @@
     {
         start();
         m_replica->setMode(FakeReplica::Mode::Stream);
-        RawCaller caller(m_io, m_gateway->port());
+        RawCaller caller(m_io, m_gateway->process().port());
         caller.send(request("/e/x", "k1"));
         CPPUNIT_ASSERT(caller.readUntil("id: 3\ndata: x\n\n\r\n0\r\n\r\n"));
     }
@@ -151,7 +134,7 @@
     void pipelinedRequestsAreAnsweredInOrder()
     {
         start();
-        RawCaller caller(m_io, m_gateway->port());
+        RawCaller caller(m_io, m_gateway->process().port());
         caller.send(request("/u/1", "k1") + request("/none/", "k1") + request("/u/2", "k1"));
         CPPUNIT_ASSERT_EQUAL(200, caller.answer().status);
         CPPUNIT_ASSERT_EQUAL(404, caller.answer().status);
@@ -172,7 +155,7 @@
         const auto answer = call(request("/u/x", "k1"));
         CPPUNIT_ASSERT_EQUAL(503, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("close"), answer.header("Connection"));
-        CPPUNIT_ASSERT_EQUAL(503, readiness());
+        CPPUNIT_ASSERT_EQUAL(503, m_gateway->readiness());
         m_store->setDown(false);
         while (call(request("/u/x", "k1")).status != 200) {
         }
@@ -182,13 +165,13 @@
     {
         start({"--rotation-ms=50", "--grace-ms=60000"});
         m_replica->setMode(FakeReplica::Mode::Silent);
-        RawCaller caller(m_io, m_gateway->port());
+        RawCaller caller(m_io, m_gateway->process().port());
         caller.send(request("/u/x", "k1"));
         while (m_replica->received().empty()) {
             m_io.run_one();
         }
-        m_gateway->signal(SIGTERM);
-        while (readiness() == 200) {
+        m_gateway->process().signal(SIGTERM);
+        while (m_gateway->readiness() == 200) {
         }
         // The server closes the connection without a response, so the request may have run.
         m_replica.reset();
@@ -196,16 +179,16 @@
         CPPUNIT_ASSERT_EQUAL(502, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("close"), answer.header("Connection"));
         caller.close();
-        CPPUNIT_ASSERT_EQUAL(0, m_gateway->waitForExit());
+        CPPUNIT_ASSERT_EQUAL(0, m_gateway->process().waitForExit());
     }
 
     void rejectsInvalidSettings()
     {
-        m_gateway = std::make_unique<ChildProcess>(
+        ChildProcess gateway(
             m_io, "turmericline-gateway", std::vector<std::string>{"--name=g", "--listen=nowhere", "--odd=1"});
-        CPPUNIT_ASSERT_EQUAL(2, m_gateway->waitForExit());
+        CPPUNIT_ASSERT_EQUAL(2, gateway.waitForExit());
         for (const char *name : {"domain", "listen", "odd", "store"}) {
-            CPPUNIT_ASSERT(m_gateway->errors().find(name) != std::string::npos);
+            CPPUNIT_ASSERT(gateway.errors().find(name) != std::string::npos);
         }
     }
 };
