Keep the ports of gateways and ended servers in the test of crashing requests

process.crashing_request with CRASH_SEED=2036 once hung until its limit. It comes again when six copies run at once (14 of 133 runs stopped at 20 s). Caught while it hung: one gateway hears from no other (live_gateways 0), the other two from each other. Cause: a gateway got a new peer port with each restart, and one whose seed was the old port of a killed gateway was alone for good, so the report that the test waits for could not arrive. Instances of the platform keep their addresses. Two of the same runs failed in another way, and 8 of 240 with only the gateways' ports kept: 502 for a harmless request, 'unsigned or encoded answer with status 405' (or 401, 404, 503). The port of an ended server belonged to a process of another copy by then. The fleet now reserves both; ReservedPort is taken out of the test fleet of the product's own processes, which did the same. No check, bound or seed changed.

--- a/fakes/fake_platform.cpp
+++ b/fakes/fake_platform.cpp
@@ -144,8 +144,8 @@
     });
 }
 
-FakeReplica::FakeReplica(asio::io_context &io)
-    : FakeServer(io, 0)
+FakeReplica::FakeReplica(asio::io_context &io, std::uint16_t port)
+    : FakeServer(io, port)
     , m_io(io)
 {
 }
--- a/fakes/fake_platform.h
+++ b/fakes/fake_platform.h
@@ -72,7 +72,8 @@
         Stream, ///< Answers with a stream of three events.
     };
 
-    explicit FakeReplica(asio::io_context &io);
+    /** With @p port 0 the kernel assigns a free one. */
+    explicit FakeReplica(asio::io_context &io, std::uint16_t port = 0);
 
     void setMode(Mode mode)
     {
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -210,20 +210,12 @@
     return spawn(name, process);
 }
 
-/**
- * The ports come from the range of outgoing connections, so while a process is down, any other one could be given its
- * port. Sockets that are bound to a port and do not listen prevent that, and do not prevent the process from listening.
- */
+/** Other processes know the ports, so a process has the same ones after a restart. */
 void Fleet::reservePorts(Process &process)
 {
     for (const auto &it : portFlagsOf(process.command.front())) {
-        asio::ip::tcp::socket socket(m_io, asio::ip::tcp::v4());
-        ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
-        socket.set_option(asio::socket_base::reuse_address(true));
-        socket.bind({asio::ip::address_v4::loopback(), 0});
-        const auto port = std::to_string(socket.local_endpoint().port());
-        process.portArguments.insert(process.portArguments.end(), {it, port});
-        process.reservations.push_back(std::move(socket));
+        const auto &port = process.reservations.emplace_back(m_io);
+        process.portArguments.insert(process.portArguments.end(), {it, std::to_string(port.number())});
     }
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_client.h"
+#include "reserved_port.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -134,7 +135,7 @@
     {
         Arguments command;
         Arguments portArguments; ///< Flags with the ports that are reserved for it.
-        std::vector<asio::ip::tcp::socket> reservations; ///< Bound to these ports, so that no other program gets them.
+        std::vector<ReservedPort> reservations; ///< These ports.
         pid_t pid = 0; ///< 0 if not running.
         int exitCode = 0;
         nlohmann::json ports;
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -2,6 +2,7 @@
 
 #include "fake_platform.h"
 #include "gateway_process.h"
+#include "reserved_port.h"
 #include "suspect_codec.h"
 
 #include <fmt/format.h>
@@ -45,6 +46,9 @@
         for (std::size_t i = 0; i < serverCount; ++i) {
             startServer(i);
         }
+        for (std::size_t i = 0; i < gateways; ++i) {
+            m_peerPorts.emplace_back(io);
+        }
         for (std::size_t i = 0; i < gateways; ++i) {
             startGateway(i);
         }
@@ -54,8 +58,13 @@
     void startGateway(std::size_t i)
     {
         m_gateways[i].reset();
-        m_gateways[i] = std::make_unique<GatewayProcess>(
-            m_io, m_store.port(), std::vector<std::string>{"--peer=127.0.0.1:0", "--seeds=" + seed(i)});
+        std::vector<std::string> arguments{"--peer=" + m_peerPorts[i].address()};
+        for (std::size_t n = 0; n < m_gateways.size(); ++n) {
+            if (m_gateways[n]) {
+                arguments.push_back("--seeds=" + m_peerPorts[n].address());
+            }
+        }
+        m_gateways[i] = std::make_unique<GatewayProcess>(m_io, m_store.port(), arguments);
     }
 
     /** Sends a request through gateway @p i. Servers that it ends have started again afterwards. */
@@ -122,7 +131,8 @@
             server.key = "servers/i-" + std::to_string(i) + "-" + std::to_string(m_startTimeMs);
         }
         server.hasEnded = false;
-        server.replica = std::make_unique<turmericline::fakes::FakeReplica>(m_io);
+        server.replica
+            = std::make_unique<turmericline::fakes::FakeReplica>(m_io, m_serverPorts.emplace_back(m_io).number());
         server.replica->crashOn(crashingBody, [this, i] {
             endServer(i);
         });
@@ -160,17 +170,6 @@
         }
     }
 
-    /** Address of a running gateway other than @p i, or one at which nothing listens. */
-    std::string seed(std::size_t i)
-    {
-        for (std::size_t n = 0; n < m_gateways.size(); ++n) {
-            if (n != i && m_gateways[n]) {
-                return "127.0.0.1:" + m_gateways[n]->process().port("peer_port");
-            }
-        }
-        return "127.0.0.1:9";
-    }
-
     std::size_t knownCrashes(std::size_t i, const std::string &fingerprint)
     {
         const auto status = nlohmann::json::parse(m_gateways[i]->get("/status").body);
@@ -184,6 +183,9 @@
     ServerEndMode m_mode;
     turmericline::fakes::FakeStore m_store;
     std::vector<Server> m_servers;
+    /** Of all servers that were ever started. Gateways may still call those of ended ones, where nothing may listen. */
+    std::vector<ReservedPort> m_serverPorts;
+    std::vector<ReservedPort> m_peerPorts; ///< By gateway; kept over restarts, as instances keep their addresses.
     std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
     std::size_t m_crashCount = 0;
     std::size_t m_callCount = 0;
