Log on which state of the store the choice of a server rests

A restored store was not visible at all. The era that the store states in its answers is now read (typed, in the adapter) and only observed: nothing decides by it yet. Each request has the era, revision and age of what its choice rested on, each change of a server the era and revision it was read at, and a change of the era is logged. No change of a decision.

--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -34,7 +34,7 @@
             removeOrDelay(now, it.key);
             continue;
         }
-        upsert(it);
+        upsert(change.position, it);
         present.insert(it.key);
     }
     if (!change.isSnapshot) {
@@ -51,7 +51,7 @@
     }
 }
 
-void BackendRegistry::upsert(const StoreItem &item)
+void BackendRegistry::upsert(const StorePosition &position, const StoreItem &item)
 {
     m_delayedRemovals.erase(item.key);
     auto record = m_dialect.readServer(item.key, item.value);
@@ -69,7 +69,9 @@
                   {"service", record.value->service},
                   {"address", record.value->address},
                   {"leaving", record.value->isLeaving},
-                  {"born_ms", record.value->startTimeMs}});
+                  {"born_ms", record.value->startTimeMs},
+                  {"era", position.era.value_or(0)},
+                  {"revision", position.revision}});
     }
     m_idOfKey[item.key] = record.value->id;
     m_table.upsert(std::move(*record.value));
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -26,7 +26,7 @@
     void tick(TimePoint now);
 
 private:
-    void upsert(const StoreItem &item);
+    void upsert(const StorePosition &position, const StoreItem &item);
     void removeOrDelay(TimePoint now, const std::string &key);
 
     const GatewayDialect &m_dialect;
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -13,6 +13,13 @@
 
 namespace turmericline {
 
+/** State of the store on which the choice of a backend server rests. */
+struct ServerBasis
+{
+    StorePosition position;
+    std::optional<std::chrono::milliseconds> age; ///< Since the store last confirmed it; nothing before the first read.
+};
+
 /** A request that has been read completely and matched to a route. */
 struct ExchangeRequest
 {
@@ -26,6 +33,7 @@
     std::uint32_t priority = 0;
     Fingerprint fingerprint; ///< The same for all copies of the request that the caller sends.
     TimePoint arrived{};
+    ServerBasis servers; ///< On arrival.
 };
 
 /** Why an attempt ended without a complete response, and whether the server may have run the request. */
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -100,8 +100,8 @@
           m_dialect,
           feedConfig(m_dialect.configKey),
           settings.store,
-          [this](TimePoint, const StoreChange &change, std::chrono::milliseconds) {
-              onConfig(change);
+          [this](TimePoint, const StoreChange &change, std::chrono::milliseconds outage) {
+              onConfig(change, outage);
           },
           m_random)
     , m_serverReader(
@@ -110,7 +110,7 @@
           serverFeedConfig(m_dialect.serverPrefix),
           settings.store,
           [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
-              m_registry.apply(now, change, outage);
+              onServers(now, change, outage);
           },
           m_random)
     , m_acceptor(io, requireEndpoint(settings.listen))
@@ -205,8 +205,10 @@
         refuse(*connection, caller, *reply);
         return;
     }
+    auto &request = std::get<ExchangeRequest>(routed);
+    request.servers = serverBasis();
     auto call = std::make_shared<GatewayCall>(
-        std::get<ExchangeRequest>(std::move(routed)),
+        std::move(request),
         ExchangeContext{m_backends, m_retries, m_retryConfig, m_suspects.table(), m_suspects.detector(), m_random},
         m_dialect,
         m_pool,
@@ -258,6 +260,9 @@
               {"first_byte_ms", summary.firstByte ? summary.firstByte->count() : -1},
               {"total_ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()},
               {"config_version", request.table->config().version},
+              {"servers_era", request.servers.position.era.value_or(0)},
+              {"servers_revision", request.servers.position.revision},
+              {"servers_age_ms", request.servers.age ? request.servers.age->count() : -1},
               {"reason", summary.reason}});
     if (!summary.failedAttempts.empty()) {
         m_suspects.probeServers(std::chrono::steady_clock::now());
@@ -271,8 +276,29 @@
     });
 }
 
-void Gateway::onConfig(const StoreChange &change)
+void Gateway::onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
 {
+    m_registry.apply(now, change, outage);
+    if (change.replaced) {
+        logNewEra(m_dialect.serverPrefix, change, outage, 0);
+    }
+}
+
+ServerBasis Gateway::serverBasis() const
+{
+    const auto &feed = m_serverReader.feed();
+    ServerBasis basis{feed.position(), std::nullopt};
+    if (const auto confirmed = feed.confirmedAt()) {
+        basis.age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - *confirmed);
+    }
+    return basis;
+}
+
+void Gateway::onConfig(const StoreChange &change, std::chrono::milliseconds outage)
+{
+    if (change.replaced) {
+        logNewEra(m_dialect.configKey, change, outage, 0);
+    }
     const auto activeVersion = m_table ? m_table->config().version : 0;
     auto config = newerConfig(m_dialect, change, activeVersion);
     if (!config) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -45,7 +45,9 @@
     void tick();
     void scheduleTick();
     void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body);
-    void onConfig(const StoreChange &change);
+    void onConfig(const StoreChange &change, std::chrono::milliseconds outage);
+    void onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage);
+    ServerBasis serverBasis() const;
     void refuse(CallerConnection &connection, const CallerFields &caller, const Reply &reply);
     void onCallEnd(const GatewayCall &call);
     ConfigFreshness configFreshness() const;
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -3,6 +3,7 @@
 #include "backend_table.h"
 #include "http_decoder.h"
 #include "routing_type.h"
+#include "store_era.h"
 #include "verdict_type.h"
 
 #include <cstdint>
@@ -77,6 +78,8 @@
     std::function<std::string(std::string_view prefix, std::uint64_t afterRevision, std::chrono::milliseconds wait)>
         watchTarget;
     std::function<Result<StorePage>(std::string_view body)> readPage;
+    /** Era that an answer of the store states, if any; fails if it is malformed. */
+    std::function<Result<std::optional<StoreEra>>(const HttpHeaders &headers)> readEra;
     std::function<Result<RoutingConfig>(std::string_view text)> readConfig;
     std::function<Result<BackendRecord>(std::string_view key, std::string_view value)> readServer;
 };
--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -60,6 +60,7 @@
     BackendHandlers handlers;
     handlers.onHead = [call](HttpHead &head) {
         call->reply.status = head.status;
+        call->reply.headers = std::move(head.headers);
         return HeadDisposition::Take;
     };
     handlers.onBody = [call](const std::string &bytes) {
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -12,12 +12,6 @@
 
 namespace turmericline {
 
-struct HttpReply
-{
-    int status = 0;
-    std::string body;
-};
-
 /** HTTP client for small calls with a time limit; buffers the whole response and reuses connections. */
 class HttpCaller
 {
--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -99,7 +99,7 @@
     }
 };
 
-std::optional<std::string_view> HttpHead::header(std::string_view name) const
+std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &it : headers) {
         if (equalsIgnoringCase(it.first, name)) {
--- a/src/http_decoder.h
+++ b/src/http_decoder.h
@@ -11,6 +11,17 @@
 
 namespace turmericline {
 
+/** Returns the value of the first header field with this name, ignoring case; nothing if there is none. */
+std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
+
+/** Complete response to a call. */
+struct HttpReply
+{
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+};
+
 /** Start line and header fields of an HTTP message. */
 struct HttpHead
 {
@@ -21,8 +32,10 @@
     bool isKeptAlive = false; ///< The connection stays open after this message.
     std::optional<std::uint64_t> contentLength;
 
-    /** Returns the value of the first header field with this name, ignoring case; nothing if there is none. */
-    std::optional<std::string_view> header(std::string_view name) const;
+    std::optional<std::string_view> header(std::string_view name) const
+    {
+        return findHeader(headers, name);
+    }
 };
 
 enum class HttpFault {
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -30,7 +30,7 @@
     m_startedAt = now;
     ++m_calls;
     if (m_isWatching) {
-        return StoreCall{m_dialect.watchTarget(m_config.prefix, m_revision, m_config.watchWait),
+        return StoreCall{m_dialect.watchTarget(m_config.prefix, m_position.revision, m_config.watchWait),
                          m_config.watchWait + m_config.responseTimeout};
     }
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
@@ -38,21 +38,23 @@
                      m_config.responseTimeout};
 }
 
-std::optional<StoreChange>
-StoreFeed::onAnswer(TimePoint now, int status, std::string_view body, std::mt19937_64 &random)
+std::optional<StoreChange> StoreFeed::onAnswer(TimePoint now, const HttpReply &answer, std::mt19937_64 &random)
 {
-    if (status == statusGone) {
+    if (const auto era = m_dialect.readEra(answer.headers)) {
+        m_era.accept(*era.value);
+    }
+    if (answer.status == statusGone) {
         m_isCalling = false;
         m_isWatching = false;
         m_dueAt = now;
         m_pages.clear();
         return std::nullopt;
     }
-    if (status != statusOk && status != statusNotFound) {
-        onFailure(now, "status " + std::to_string(status), random);
+    if (answer.status != statusOk && answer.status != statusNotFound) {
+        onFailure(now, "status " + std::to_string(answer.status), random);
         return std::nullopt;
     }
-    auto page = m_dialect.readPage(body);
+    auto page = m_dialect.readPage(answer.body);
     if (!page) {
         onFailure(now, page.reason, random);
         return std::nullopt;
@@ -69,8 +71,7 @@
     if (m_isWatching) {
         // The store responds without events only after the wait, so the state is confirmed up to its end.
         m_confirmedAt = m_calledAt + (page.items.empty() ? m_config.watchWait : std::chrono::milliseconds{0});
-        m_revision = std::max(m_revision, page.revision);
-        return StoreChange{std::move(page.items), false};
+        return changeTo(std::max(m_position.revision, page.revision), std::move(page.items), false);
     }
     if (!m_snapshotRevision) {
         m_snapshotRevision = page.revision;
@@ -81,13 +82,20 @@
     }
     // The pages are not an atomic snapshot. The watch starts at the revision of the first page, so that it reports
     // changes made between two pages.
-    m_revision = *std::exchange(m_snapshotRevision, std::nullopt);
+    const auto revision = *std::exchange(m_snapshotRevision, std::nullopt);
     m_confirmedAt = m_calledAt;
     m_isWatching = !m_config.stalePollPeriod;
     if (m_config.stalePollPeriod) {
         m_dueAt = now + *m_config.stalePollPeriod;
     }
-    return StoreChange{std::exchange(m_pages, {}), true};
+    return changeTo(revision, std::exchange(m_pages, {}), true);
+}
+
+StoreChange StoreFeed::changeTo(std::uint64_t revision, std::vector<StoreItem> items, bool isSnapshot)
+{
+    const auto previous = std::exchange(m_position, StorePosition{m_era.current(), revision});
+    const bool isNewEra = previous.revision > 0 && previous.era != m_position.era;
+    return {std::move(items), isSnapshot, m_position, isNewEra ? std::optional(previous) : std::nullopt};
 }
 
 void StoreFeed::onFailure(TimePoint now, std::string reason, std::mt19937_64 &random)
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -36,6 +36,8 @@
 {
     std::vector<StoreItem> items;
     bool isSnapshot = false; ///< The list is complete: items that are not in it do not exist.
+    StorePosition position; ///< State of the store after these changes.
+    std::optional<StorePosition> replaced; ///< Last state of the previous era, if this is the first one of a new era.
 };
 
 /**
@@ -51,10 +53,16 @@
     /** Starts the next call if it is due and none is in progress. */
     std::optional<StoreCall> takeCall(TimePoint now, BootTime bootNow);
     /** Handles the response to the current call. Returns nothing if more pages follow or the call has failed. */
-    std::optional<StoreChange> onAnswer(TimePoint now, int status, std::string_view body, std::mt19937_64 &random);
+    std::optional<StoreChange> onAnswer(TimePoint now, const HttpReply &answer, std::mt19937_64 &random);
     /** Called if the current call ended without a complete response. */
     void onFailure(TimePoint now, std::string reason, std::mt19937_64 &random);
 
+    /** State of the store that the items passed on so far reflect. */
+    const StorePosition &position() const
+    {
+        return m_position;
+    }
+
     /** Time at which the known state was last confirmed to be current; nothing before the first complete read. */
     std::optional<BootTime> confirmedAt() const
     {
@@ -79,6 +87,7 @@
 
 private:
     std::optional<StoreChange> onPage(TimePoint now, StorePage page);
+    StoreChange changeTo(std::uint64_t revision, std::vector<StoreItem> items, bool isSnapshot);
 
     const GatewayDialect &m_dialect;
     StoreFeedConfig m_config;
@@ -87,7 +96,8 @@
     TimePoint m_dueAt{};
     BootTime m_calledAt{};
     TimePoint m_startedAt{}; ///< Start of the last call.
-    std::uint64_t m_revision = 0;
+    EraTracker m_era;
+    StorePosition m_position;
     std::optional<std::uint64_t> m_snapshotRevision; ///< Revision of the first page while a read is in progress.
     std::vector<StoreItem> m_pages;
     std::optional<BootTime> m_confirmedAt;
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -9,8 +9,30 @@
 /** Outages shorter than this are not logged. */
 constexpr std::chrono::milliseconds outageLogDelay{500};
 
+/** Null if the store states no era. */
+nlohmann::json eraJson(const StorePosition &position)
+{
+    return position.era ? nlohmann::json(*position.era) : nlohmann::json();
+}
+
 } // namespace
 
+void logNewEra(std::string_view prefix,
+               const StoreChange &change,
+               std::chrono::milliseconds outage,
+               std::size_t keptFacts)
+{
+    logEvent(LogLevel::Warning,
+             "store restored from a copy",
+             {{"prefix", prefix},
+              {"era", eraJson(change.position)},
+              {"revision", change.position.revision},
+              {"replaced_era", eraJson(*change.replaced)},
+              {"replaced_revision", change.replaced->revision},
+              {"outage_ms", outage.count()},
+              {"kept_facts", keptFacts}});
+}
+
 StoreReader::StoreReader(asio::io_context &io,
                          const GatewayDialect &dialect,
                          const StoreFeedConfig &config,
@@ -72,7 +94,7 @@
     }
     const auto outage = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_feed.failingSince() ? now - *m_feed.failingSince() : TimePoint::duration{});
-    const auto change = m_feed.onAnswer(now, reply->status, reply->body, m_random);
+    const auto change = m_feed.onAnswer(now, *reply, m_random);
     if (!m_feed.failingSince() && m_isOutageLogged) {
         m_isOutageLogged = false;
         logEvent(LogLevel::Info, "store regained", {{"prefix", m_name}, {"outage_ms", outage.count()}});
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -10,6 +10,12 @@
 
 namespace turmericline {
 
+/** Logs a change that begins a new era. @p keptFacts is the number of newer facts that it has not replaced. */
+void logNewEra(std::string_view prefix,
+               const StoreChange &change,
+               std::chrono::milliseconds outage,
+               std::size_t keptFacts);
+
 /** Executes the calls of one feed over its own connection. */
 class StoreReader
 {
--- a/tests/unit_store_feed_test.cpp
+++ b/tests/unit_store_feed_test.cpp
@@ -44,6 +44,21 @@
                + (isTruncated ? "true" : "false") + "}";
     }
 
+    static HttpReply reply(int status, std::string body)
+    {
+        return {status, {}, std::move(body)};
+    }
+
+    static StoreChange snapshot(std::vector<StoreItem> items)
+    {
+        return {std::move(items), true, {}, {}};
+    }
+
+    static StoreChange events(std::vector<StoreItem> items)
+    {
+        return {std::move(items), false, {}, {}};
+    }
+
     static constexpr const char *itemA = R"({"key":"servers/a","value":"e30=","revision":3,"created":3,"lease":0})";
     static constexpr const char *itemB = R"({"key":"servers/b","value":"e30=","revision":4,"created":4,"lease":0})";
 
@@ -61,7 +76,7 @@
         auto feed = makeFeed();
         CPPUNIT_ASSERT_EQUAL(std::string("/v1/kv-range?prefix=servers/"), feed.takeCall(m_now, m_boot)->target);
         CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
-        const auto change = feed.onAnswer(m_now, 200, page(itemA, 7), m_random);
+        const auto change = feed.onAnswer(m_now, reply(200, page(itemA, 7)), m_random);
         CPPUNIT_ASSERT(change->isSnapshot);
         CPPUNIT_ASSERT_EQUAL(std::string("{}"), change->items.front().value);
         CPPUNIT_ASSERT(feed.confirmedAt() == m_boot);
@@ -69,7 +84,9 @@
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("kv-watch?prefix=servers/&after=7&")
                        != std::string::npos);
         const auto event = feed.onAnswer(
-            m_now, 200, R"({"events":[{"key":"servers/a","revision":9,"deleted":true}],"current_rev":9})", m_random);
+            m_now,
+            reply(200, R"({"events":[{"key":"servers/a","revision":9,"deleted":true}],"current_rev":9})"),
+            m_random);
         CPPUNIT_ASSERT(!event->isSnapshot && event->items.front().isDeleted);
         m_now += 1s;
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("after=9&") != std::string::npos);
@@ -80,10 +97,10 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 200, page(itemA, 5, true), m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(200, page(itemA, 5, true)), m_random));
         m_now += 1s;
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&after=servers/a"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed.onAnswer(m_now, 200, page(itemB, 8), m_random)->items.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed.onAnswer(m_now, reply(200, page(itemB, 8)), m_random)->items.size());
         m_now += 1s;
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("after=5&") != std::string::npos);
     }
@@ -92,10 +109,10 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        feed.onAnswer(m_now, 200, page(itemA, 7), m_random);
+        feed.onAnswer(m_now, reply(200, page(itemA, 7)), m_random);
         m_now += 1s;
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 410, "{}", m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(410, "{}"), m_random));
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.starts_with("/v1/kv-range"));
     }
 
@@ -103,11 +120,11 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        feed.onAnswer(m_now, 200, page("", 7), m_random);
+        feed.onAnswer(m_now, reply(200, page("", 7)), m_random);
         m_now += 1s;
         feed.takeCall(m_now, m_boot + 1s);
         // The response was delayed, for example by a suspended machine, so only the duration of the wait is confirmed.
-        feed.onAnswer(m_now + 30s, 200, R"({"events":[],"current_rev":7})", m_random);
+        feed.onAnswer(m_now + 30s, reply(200, R"({"events":[],"current_rev":7})"), m_random);
         CPPUNIT_ASSERT(feed.confirmedAt() == m_boot + 3s);
     }
 
@@ -115,12 +132,12 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, 503, "", m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(503, ""), m_random));
         CPPUNIT_ASSERT(!feed.confirmedAt());
         CPPUNIT_ASSERT(feed.failingSince() == m_now);
         CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
         CPPUNIT_ASSERT(feed.takeCall(m_now + 50ms, m_boot).has_value());
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now + 50ms, 200, "not json", m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now + 50ms, reply(200, "not json"), m_random));
         CPPUNIT_ASSERT(feed.failingSince() == m_now);
     }
 
@@ -131,7 +148,7 @@
         config.stalePollPeriod = 2s;
         StoreFeed feed(m_dialect, config);
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&allow_stale=1"));
-        CPPUNIT_ASSERT(feed.onAnswer(m_now, 200, page("", 7), m_random)->isSnapshot);
+        CPPUNIT_ASSERT(feed.onAnswer(m_now, reply(200, page("", 7)), m_random)->isSnapshot);
         CPPUNIT_ASSERT(!feed.takeCall(m_now + 1'900ms, m_boot));
         CPPUNIT_ASSERT(feed.takeCall(m_now + 2s, m_boot)->target.starts_with("/v1/kv-range"));
     }
@@ -140,11 +157,11 @@
     {
         BackendTable table("z");
         BackendRegistry registry(m_dialect, table);
-        registry.apply(m_now, {{server("a"), server("b")}, true}, 0ms);
-        registry.apply(m_now, {{}, true}, 3s);
+        registry.apply(m_now, snapshot({server("a"), server("b")}), 0ms);
+        registry.apply(m_now, snapshot({}), 3s);
         registry.tick(m_now + 2s);
         CPPUNIT_ASSERT(table.find("a") != nullptr);
-        registry.apply(m_now + 2s, {{server("b")}, false}, 0ms);
+        registry.apply(m_now + 2s, events({server("b")}), 0ms);
         registry.tick(m_now + 3s);
         CPPUNIT_ASSERT(table.find("a") == nullptr);
         CPPUNIT_ASSERT(table.find("b") != nullptr);
@@ -154,8 +171,8 @@
     {
         BackendTable table("z");
         BackendRegistry registry(m_dialect, table);
-        registry.apply(m_now, {{server("a"), server("b")}, true}, 0ms);
-        registry.apply(m_now, {{server("a", "draining"), {"servers/b", "", true}}, false}, 0ms);
+        registry.apply(m_now, snapshot({server("a"), server("b")}), 0ms);
+        registry.apply(m_now, events({server("a", "draining"), {"servers/b", "", true}}), 0ms);
         CPPUNIT_ASSERT(table.find("b") == nullptr);
         CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
     }
@@ -171,12 +188,12 @@
                                   R"({"service":1})",
                                   R"({"service":"s","address":5})",
                                   R"({"service":"s","address":"x","zone":"z","state":"odd"})"}) {
-            registry.apply(m_now, {{{"servers/x", value, false}}, false}, 0ms);
+            registry.apply(m_now, events({{"servers/x", value, false}}), 0ms);
             CPPUNIT_ASSERT(table.find("x") == nullptr);
         }
         // An invalid value under the key of a known server does not remove the server.
-        registry.apply(m_now, {{server("a")}, true}, 0ms);
-        registry.apply(m_now, {{{"servers/a", "junk", false}}, false}, 0ms);
+        registry.apply(m_now, snapshot({server("a")}), 0ms);
+        registry.apply(m_now, events({{"servers/a", "junk", false}}), 0ms);
         CPPUNIT_ASSERT(table.find("a") != nullptr);
     }
 
@@ -184,10 +201,10 @@
     {
         BackendTable table("z");
         BackendRegistry registry(m_dialect, table);
-        registry.apply(m_now, {{server("a")}, true}, 0ms);
+        registry.apply(m_now, snapshot({server("a")}), 0ms);
         table.onFault(m_now, "a", BackendFault::Unreachable);
         CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
-        registry.apply(m_now, {{server("a", "ready", 2)}, false}, 0ms);
+        registry.apply(m_now, events({server("a", "ready", 2)}), 0ms);
         CPPUNIT_ASSERT(table.choose(m_now, "s", {}, m_random).has_value());
     }
 };
