--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_platform.h"
+#include "fake_store.h"
 #include "gateway_process.h"
 #include "reserved_port.h"
 #include "suspect_codec.h"
--- a/tests/process_expert_agent_test.cpp
+++ b/tests/process_expert_agent_test.cpp
@@ -1,5 +1,6 @@
 #include "child_process.h"
 #include "fake_platform.h"
+#include "fake_store.h"
 #include "raw_caller.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/process_gateway_test.cpp
+++ b/tests/process_gateway_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_platform.h"
+#include "fake_store.h"
 #include "gateway_process.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -149,14 +150,14 @@
     void lostStoreStopsAcceptanceOfKeys()
     {
         start({"--revoke-bound-ms=3000"});
-        m_store->setDown(true);
+        m_store->setOutage(fakes::StoreOutage::Silent);
         while (call(request("/u/x", "k1")).status == 200) {
         }
         const auto answer = call(request("/u/x", "k1"));
         CPPUNIT_ASSERT_EQUAL(503, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("close"), answer.header("Connection"));
         CPPUNIT_ASSERT_EQUAL(503, m_gateway->readiness());
-        m_store->setDown(false);
+        m_store->setOutage(fakes::StoreOutage::None);
         while (call(request("/u/x", "k1")).status != 200) {
         }
     }
