Read the store anew when its era changes, so that no change is missed

Callers' requests reach a server that has said that it leaves, for as long as its announcement does not change. Cause: StoreFeed compared bare revisions. A store that comes back from a copy gives out revisions again; a watch that is sent after it has counted past the known revision is answered as if nothing had happened, and what was written again below is never seen. Change: an answer has its era; a revision counts within its era only. A new era means one full read, spread over 0.5 ms a gateway (0.1 s at least; 4,000 reads a second at 1,900 gateways, worked out); a read in pages that meets a new era begins anew; answers of an earlier era, without the era that others stated, or with one that is not a number are failures with their reason, and change nothing.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -23,6 +23,11 @@
 constexpr std::chrono::milliseconds serverWatchWait{8'000};
 /** Minimum time between server reads. Servers keep serving for 2 s after they announce that they leave. */
 constexpr std::chrono::milliseconds serverWatchPeriod{400};
+/** The operators write lost changes again at once, backend servers within about 2 s. */
+constexpr std::chrono::milliseconds configSettleTime{2'300};
+/** When a new era begins, all gateways read; this spreads 2 reads of each so that 1,900 gateways send 4,000 a second. */
+constexpr std::chrono::microseconds rereadSpreadPerGateway{500};
+constexpr std::chrono::milliseconds minRereadSpread{100};
 constexpr std::chrono::milliseconds settingsCheckPeriod{1'000};
 /** The process exits this long before the end of the grace period, so that the last bytes can still be sent. */
 constexpr std::chrono::milliseconds exitMargin{500};
@@ -74,6 +79,13 @@
     return config;
 }
 
+StoreFeedConfig configFeedConfig(std::string key)
+{
+    auto config = feedConfig(std::move(key));
+    config.settleTime = configSettleTime;
+    return config;
+}
+
 StoreFeedConfig serverFeedConfig(std::string prefix)
 {
     auto config = feedConfig(std::move(prefix));
@@ -98,7 +110,7 @@
     , m_configReader(
           io,
           m_dialect,
-          feedConfig(m_dialect.configKey),
+          configFeedConfig(m_dialect.configKey),
           settings.store,
           [this](TimePoint, const StoreChange &change, std::chrono::milliseconds outage) {
               onConfig(change, outage);
@@ -346,7 +358,7 @@
     m_serverReader.tick(now);
     m_registry.tick(now);
     m_suspects.tick(now);
-    updateRetryLimits();
+    onGatewayCount(m_suspects.gatewayCount());
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
@@ -369,10 +381,13 @@
     scheduleTick();
 }
 
-/** The allowance of this gateway depends on the number of gateways. */
-void Gateway::updateRetryLimits()
+/** Updates what depends on the number of gateways: the retry allowance of this one, and the spread of reads. */
+void Gateway::onGatewayCount(std::size_t gateways)
 {
-    m_retryConfig = retryConfig(m_settings, m_suspects.gatewayCount());
+    const auto spread = std::chrono::ceil<std::chrono::milliseconds>(rereadSpreadPerGateway * gateways);
+    m_configReader.setRereadSpread(std::max(spread, minRereadSpread));
+    m_serverReader.setRereadSpread(std::max(spread, minRereadSpread));
+    m_retryConfig = retryConfig(m_settings, gateways);
     for (auto &[service, window] : m_retries) {
         window.setLimits(m_retryConfig.ratio, m_retryConfig.allowance);
     }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -52,7 +52,7 @@
     void onCallEnd(const GatewayCall &call);
     ConfigFreshness configFreshness() const;
     bool isReady() const;
-    void updateRetryLimits();
+    void onGatewayCount(std::size_t gateways);
     void waitForSignal();
     void onTerminate();
     void checkSettingsFile(TimePoint now);
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -5,6 +5,8 @@
 
 namespace turmericline {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 constexpr int statusOk = 200;
@@ -30,18 +32,45 @@
     m_startedAt = now;
     ++m_calls;
     if (m_isWatching) {
-        return StoreCall{m_dialect.watchTarget(m_config.prefix, m_position.revision, m_config.watchWait),
-                         m_config.watchWait + m_config.responseTimeout};
+        // An empty watch confirms the state up to its end, so the first one ends when the new era has settled.
+        const auto unsettled = std::chrono::ceil<std::chrono::milliseconds>(m_settledAt - bootNow);
+        m_wait = unsettled > 0ms ? std::min(unsettled, m_config.watchWait) : m_config.watchWait;
+        return StoreCall{m_dialect.watchTarget(m_config.prefix, m_position.revision, m_wait),
+                         m_wait + m_config.responseTimeout};
     }
     const std::string after = m_pages.empty() ? "" : m_pages.back().key;
     return StoreCall{m_dialect.rangeTarget(m_config.prefix, after, m_config.stalePollPeriod.has_value()),
                      m_config.responseTimeout};
 }
 
-std::optional<StoreChange> StoreFeed::onAnswer(TimePoint now, const HttpReply &answer, std::mt19937_64 &random)
+void StoreFeed::onStoreReplaced(TimePoint now, std::mt19937_64 &random)
+{
+    m_era = {};
+    onFailure(now, "the store's address has changed", random);
+}
+
+void StoreFeed::setRereadSpread(std::chrono::milliseconds spread)
+{
+    m_rereadSpread = spread;
+}
+
+std::optional<StoreChange>
+StoreFeed::onAnswer(TimePoint now, BootTime bootNow, const HttpReply &answer, std::mt19937_64 &random)
 {
-    if (const auto era = m_dialect.readEra(answer.headers)) {
-        m_era.accept(*era.value);
+    const auto era = m_dialect.readEra(answer.headers);
+    const auto isNewEra = era ? m_era.accept(*era.value) : Result<bool>::fail(era.reason);
+    if (!isNewEra) {
+        onFailure(now, isNewEra.reason, random);
+        return std::nullopt;
+    }
+    if (*isNewEra.value) {
+        // The first page of a read is of the new era as a whole; other answers continue from the previous one.
+        const bool isContinued = m_isWatching || !m_pages.empty();
+        beginEra(bootNow);
+        if (isContinued && (answer.status == statusOk || answer.status == statusGone)) {
+            rereadLater(now, random);
+            return std::nullopt;
+        }
     }
     if (answer.status == statusGone) {
         m_isCalling = false;
@@ -66,11 +95,34 @@
     return onPage(now, std::move(*page.value));
 }
 
+void StoreFeed::beginEra(BootTime bootNow)
+{
+    m_isWatching = false;
+    m_pages.clear();
+    m_snapshotRevision.reset();
+    m_settledAt = bootNow + m_config.settleTime;
+}
+
+void StoreFeed::rereadLater(TimePoint now, std::mt19937_64 &random)
+{
+    m_isCalling = false;
+    m_dueAt = now
+              + std::chrono::milliseconds(
+                  std::uniform_int_distribution<int>(0, static_cast<int>(m_rereadSpread.count()))(random));
+}
+
+void StoreFeed::confirm(BootTime at)
+{
+    if (at >= m_settledAt) {
+        m_confirmedAt = at;
+    }
+}
+
 std::optional<StoreChange> StoreFeed::onPage(TimePoint now, StorePage page)
 {
     if (m_isWatching) {
         // The store responds without events only after the wait, so the state is confirmed up to its end.
-        m_confirmedAt = m_calledAt + (page.items.empty() ? m_config.watchWait : std::chrono::milliseconds{0});
+        confirm(m_calledAt + (page.items.empty() ? m_wait : 0ms));
         return changeTo(std::max(m_position.revision, page.revision), std::move(page.items), false);
     }
     if (!m_snapshotRevision) {
@@ -83,7 +135,7 @@
     // The pages are not an atomic snapshot. The watch starts at the revision of the first page, so that it reports
     // changes made between two pages.
     const auto revision = *std::exchange(m_snapshotRevision, std::nullopt);
-    m_confirmedAt = m_calledAt;
+    confirm(m_calledAt);
     m_isWatching = !m_config.stalePollPeriod;
     if (m_config.stalePollPeriod) {
         m_dueAt = now + *m_config.stalePollPeriod;
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -22,6 +22,8 @@
     std::chrono::milliseconds responseTimeout{1'000}; ///< Of a call; a watch waits in addition to it.
     std::chrono::milliseconds minBackoff{50};
     std::chrono::milliseconds maxBackoff{800};
+    /** In a new era, lost changes are written again for this long; until then, the state is not confirmed to be current. */
+    std::chrono::milliseconds settleTime{0};
 };
 
 /** A call to send to the store. */
@@ -42,8 +44,8 @@
 
 /**
  * Tracks the items under one key prefix: reads them all, then watches for changes from that revision. There is one call
- * at a time. After a failure, or if the store no longer has the history of a watch, it reads all items again; retries
- * after failures use a randomized exponential backoff.
+ * at a time. After a failure, in a new era, or if the store no longer has the history of a watch, it reads all items again;
+ * retries after failures use a randomized exponential backoff.
  */
 class StoreFeed
 {
@@ -53,7 +55,12 @@
     /** Starts the next call if it is due and none is in progress. */
     std::optional<StoreCall> takeCall(TimePoint now, BootTime bootNow);
     /** Handles the response to the current call. Returns nothing if more pages follow or the call has failed. */
-    std::optional<StoreChange> onAnswer(TimePoint now, const HttpReply &answer, std::mt19937_64 &random);
+    std::optional<StoreChange>
+    onAnswer(TimePoint now, BootTime bootNow, const HttpReply &answer, std::mt19937_64 &random);
+    /** Called if calls go to another store from now on, whose eras have nothing to do with those of the former one. */
+    void onStoreReplaced(TimePoint now, std::mt19937_64 &random);
+    /** Sets the time over which the feeds of all gateways that learn of a new era spread their reads. */
+    void setRereadSpread(std::chrono::milliseconds spread);
     /** Called if the current call ended without a complete response. */
     void onFailure(TimePoint now, std::string reason, std::mt19937_64 &random);
 
@@ -86,6 +93,9 @@
     }
 
 private:
+    void beginEra(BootTime bootNow);
+    void rereadLater(TimePoint now, std::mt19937_64 &random);
+    void confirm(BootTime at);
     std::optional<StoreChange> onPage(TimePoint now, StorePage page);
     StoreChange changeTo(std::uint64_t revision, std::vector<StoreItem> items, bool isSnapshot);
 
@@ -95,11 +105,14 @@
     bool m_isCalling = false;
     TimePoint m_dueAt{};
     BootTime m_calledAt{};
+    std::chrono::milliseconds m_wait{}; ///< Wait of the last watch.
     TimePoint m_startedAt{}; ///< Start of the last call.
     EraTracker m_era;
     StorePosition m_position;
     std::optional<std::uint64_t> m_snapshotRevision; ///< Revision of the first page while a read is in progress.
     std::vector<StoreItem> m_pages;
+    std::chrono::milliseconds m_rereadSpread{0};
+    BootTime m_settledAt{}; ///< The state is not confirmed to be current before this time.
     std::optional<BootTime> m_confirmedAt;
     std::optional<TimePoint> m_failingSince;
     std::uint32_t m_failures = 0;
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -8,6 +8,7 @@
 
 /** Outages shorter than this are not logged. */
 constexpr std::chrono::milliseconds outageLogDelay{500};
+constexpr int statusOk = 200;
 
 /** Null if the store states no era. */
 nlohmann::json eraJson(const StorePosition &position)
@@ -53,10 +54,15 @@
     if (address != m_address) {
         m_address = std::move(address);
         ++m_callNumber;
-        m_feed.onFailure(std::chrono::steady_clock::now(), "the store's address has changed", m_random);
+        m_feed.onStoreReplaced(std::chrono::steady_clock::now(), m_random);
     }
 }
 
+void StoreReader::setRereadSpread(std::chrono::milliseconds spread)
+{
+    m_feed.setRereadSpread(spread);
+}
+
 void StoreReader::tick(TimePoint now)
 {
     m_caller.tick(now);
@@ -94,7 +100,11 @@
     }
     const auto outage = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_feed.failingSince() ? now - *m_feed.failingSince() : TimePoint::duration{});
-    const auto change = m_feed.onAnswer(now, *reply, m_random);
+    const auto change = m_feed.onAnswer(now, BootClock::now(), *reply, m_random);
+    if (m_feed.failingSince() && reply->status == statusOk) {
+        logEvent(
+            LogLevel::Warning, "answer of the store rejected", {{"prefix", m_name}, {"reason", m_feed.lastError()}});
+    }
     if (!m_feed.failingSince() && m_isOutageLogged) {
         m_isOutageLogged = false;
         logEvent(LogLevel::Info, "store regained", {{"prefix", m_name}, {"outage_ms", outage.count()}});
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -35,6 +35,7 @@
 
     void tick(TimePoint now);
     void setAddress(std::string address);
+    void setRereadSpread(std::chrono::milliseconds spread);
 
     const StoreFeed &feed() const
     {
--- a/tests/unit_store_feed_test.cpp
+++ b/tests/unit_store_feed_test.cpp
@@ -76,7 +76,7 @@
         auto feed = makeFeed();
         CPPUNIT_ASSERT_EQUAL(std::string("/v1/kv-range?prefix=servers/"), feed.takeCall(m_now, m_boot)->target);
         CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
-        const auto change = feed.onAnswer(m_now, reply(200, page(itemA, 7)), m_random);
+        const auto change = feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 7)), m_random);
         CPPUNIT_ASSERT(change->isSnapshot);
         CPPUNIT_ASSERT_EQUAL(std::string("{}"), change->items.front().value);
         CPPUNIT_ASSERT(feed.confirmedAt() == m_boot);
@@ -85,6 +85,7 @@
                        != std::string::npos);
         const auto event = feed.onAnswer(
             m_now,
+            m_boot,
             reply(200, R"({"events":[{"key":"servers/a","revision":9,"deleted":true}],"current_rev":9})"),
             m_random);
         CPPUNIT_ASSERT(!event->isSnapshot && event->items.front().isDeleted);
@@ -97,10 +98,11 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(200, page(itemA, 5, true)), m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 5, true)), m_random));
         m_now += 1s;
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&after=servers/a"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed.onAnswer(m_now, reply(200, page(itemB, 8)), m_random)->items.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             feed.onAnswer(m_now, m_boot, reply(200, page(itemB, 8)), m_random)->items.size());
         m_now += 1s;
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.find("after=5&") != std::string::npos);
     }
@@ -109,10 +111,10 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        feed.onAnswer(m_now, reply(200, page(itemA, 7)), m_random);
+        feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 7)), m_random);
         m_now += 1s;
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(410, "{}"), m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, m_boot, reply(410, "{}"), m_random));
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.starts_with("/v1/kv-range"));
     }
 
@@ -120,11 +122,11 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        feed.onAnswer(m_now, reply(200, page("", 7)), m_random);
+        feed.onAnswer(m_now, m_boot, reply(200, page("", 7)), m_random);
         m_now += 1s;
         feed.takeCall(m_now, m_boot + 1s);
         // The response was delayed, for example by a suspended machine, so only the duration of the wait is confirmed.
-        feed.onAnswer(m_now + 30s, reply(200, R"({"events":[],"current_rev":7})"), m_random);
+        feed.onAnswer(m_now + 30s, m_boot + 31s, reply(200, R"({"events":[],"current_rev":7})"), m_random);
         CPPUNIT_ASSERT(feed.confirmedAt() == m_boot + 3s);
     }
 
@@ -132,12 +134,12 @@
     {
         auto feed = makeFeed();
         feed.takeCall(m_now, m_boot);
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now, reply(503, ""), m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, m_boot, reply(503, ""), m_random));
         CPPUNIT_ASSERT(!feed.confirmedAt());
         CPPUNIT_ASSERT(feed.failingSince() == m_now);
         CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
         CPPUNIT_ASSERT(feed.takeCall(m_now + 50ms, m_boot).has_value());
-        CPPUNIT_ASSERT(!feed.onAnswer(m_now + 50ms, reply(200, "not json"), m_random));
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now + 50ms, m_boot, reply(200, "not json"), m_random));
         CPPUNIT_ASSERT(feed.failingSince() == m_now);
     }
 
@@ -148,7 +150,7 @@
         config.stalePollPeriod = 2s;
         StoreFeed feed(m_dialect, config);
         CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot)->target.ends_with("&allow_stale=1"));
-        CPPUNIT_ASSERT(feed.onAnswer(m_now, reply(200, page("", 7)), m_random)->isSnapshot);
+        CPPUNIT_ASSERT(feed.onAnswer(m_now, m_boot, reply(200, page("", 7)), m_random)->isSnapshot);
         CPPUNIT_ASSERT(!feed.takeCall(m_now + 1'900ms, m_boot));
         CPPUNIT_ASSERT(feed.takeCall(m_now + 2s, m_boot)->target.starts_with("/v1/kv-range"));
     }
