Keep what is known of a server's run when the store gives an older state

A gateway that knew that a server leaves, or is gone, sent it requests again after the store had come back from a copy, until the server had written its state again; with a copy that is never corrected, for good. Cause: BackendTable::upsert replaced the record of an incarnation with whatever was read last. Class: the order of reading was taken for the order of events. Change: BackendRegistry lets one run of a server go forward only. Leaving is kept for the run (a server that leaves never takes that back, so keeping it costs nothing if the lost write is not repeated). A server that was gone before the era began is held for 5 s: by then its announcement is removed again or has expired, and one that is alive is used. Servers that the copy lacks are kept for 2.3 s. Earlier starts and older stale reads are ignored. Each kept fact is logged once and counted.

--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -12,8 +12,12 @@
 constexpr std::chrono::milliseconds minOutage{800};
 /** Live servers announce themselves again about 2 s after the end of an outage. */
 constexpr std::chrono::milliseconds reannounceTime{2'300};
+/** In a new era, the announcement of a server that is gone is removed or expires within about this time. */
+constexpr std::chrono::milliseconds expiryTime{5'000};
 /** Limit of keys that are remembered so that each invalid announcement is logged once. */
 constexpr std::size_t maxRejected = 1'000;
+/** Limit of servers of which an ignored older state is logged once instead of each time. */
+constexpr std::size_t maxContradicted = 1'000;
 
 } // namespace
 
@@ -23,23 +27,31 @@
 {
 }
 
-void BackendRegistry::apply(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
+std::size_t BackendRegistry::apply(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
 {
-    if (outage >= minOutage) {
+    if (outage >= minOutage || change.replaced) {
         m_delaysRemovalsUntil = now + reannounceTime;
     }
+    if (change.replaced) {
+        m_holdsUntil = now + expiryTime;
+    }
+    m_position = change.position;
+    std::size_t kept = 0;
     std::set<std::string> present;
     for (const auto &it : change.items) {
         if (it.isDeleted) {
-            removeOrDelay(now, it.key);
+            removeOrDelay(now, change.position.era, it.key);
             continue;
         }
-        upsert(change.position, it);
+        kept += onAnnouncement(now, change.position, it) ? 1 : 0;
         present.insert(it.key);
     }
     if (!change.isSnapshot) {
-        return;
+        return kept;
     }
+    std::erase_if(m_held, [&present](const auto &it) {
+        return !present.contains(it.first);
+    });
     std::vector<std::string> missing;
     for (const auto &[key, id] : m_idOfKey) {
         if (!present.contains(key)) {
@@ -47,38 +59,113 @@
         }
     }
     for (const auto &it : missing) {
-        removeOrDelay(now, it);
+        removeOrDelay(now, change.position.era, it);
     }
+    return kept;
 }
 
-void BackendRegistry::upsert(const StorePosition &position, const StoreItem &item)
+bool BackendRegistry::onAnnouncement(TimePoint now, const StorePosition &position, const StoreItem &item)
 {
     m_delayedRemovals.erase(item.key);
-    auto record = m_dialect.readServer(item.key, item.value);
-    if (!record) {
+    auto parsed = m_dialect.readServer(item.key, item.value);
+    if (!parsed) {
         if (m_rejected.size() < maxRejected && m_rejected.insert(item.key).second) {
-            logEvent(LogLevel::Warning, "server announcement rejected", {{"key", item.key}, {"reason", record.reason}});
+            logEvent(LogLevel::Warning, "server announcement rejected", {{"key", item.key}, {"reason", parsed.reason}});
         }
-        return;
+        return false;
+    }
+    auto &record = *parsed.value;
+    const auto *known = m_table.find(record.id);
+    const bool isOlderRun
+        = known != nullptr && record.startTimeMs != 0 && record.startTimeMs < known->record.startTimeMs;
+    if (isOlderRun) {
+        logKept(known->record, "later start");
+        return true;
+    }
+    const bool isKept
+        = known != nullptr ? mergeKnown(record, known->record) : holdIfRemoved(now, position, item.key, record);
+    if (!m_held.contains(item.key)) {
+        use(position, item.key, std::move(record));
+    }
+    return isKept;
+}
+
+/** Adds to @p record what is known of the same run of the server and cannot be undone. Returns whether that changes it. */
+bool BackendRegistry::mergeKnown(BackendRecord &record, const BackendRecord &known)
+{
+    if (!isSameIncarnation(record, known)) {
+        return false;
+    }
+    record.startTimeMs = std::max(record.startTimeMs, known.startTimeMs);
+    const bool isKept = known.isLeaving && !record.isLeaving;
+    record.isLeaving |= known.isLeaving;
+    if (isKept) {
+        logKept(known, "leaving");
+    } else {
+        m_contradicted.erase(record.id);
+    }
+    return isKept;
+}
+
+/** Returns whether something that is known of the server is kept: that it left, or that it was gone. */
+bool BackendRegistry::holdIfRemoved(TimePoint now,
+                                    const StorePosition &position,
+                                    const std::string &key,
+                                    BackendRecord &record)
+{
+    const auto *removed = m_removed.find(record);
+    if (removed == nullptr) {
+        m_held.erase(key);
+        return false;
     }
-    const auto *known = m_table.find(record.value->id);
-    if (known == nullptr || known->record != *record.value) {
+    const bool isKept = mergeKnown(record, removed->record);
+    const bool isRestored = removed->era != position.era && now < m_holdsUntil;
+    if (!isRestored) {
+        m_held.erase(key);
+        m_removed.erase(record.id);
+        return isKept;
+    }
+    if (m_held.insert_or_assign(key, HeldAnnouncement{record, m_holdsUntil}).second) {
+        logKept(record, "gone");
+    }
+    return true;
+}
+
+void BackendRegistry::use(const StorePosition &position, const std::string &key, BackendRecord record)
+{
+    const auto *known = m_table.find(record.id);
+    if (known == nullptr || known->record != record) {
         logEvent(LogLevel::Info,
                  known == nullptr ? "server announced" : "server changed",
-                 {{"server", record.value->id},
-                  {"service", record.value->service},
-                  {"address", record.value->address},
-                  {"leaving", record.value->isLeaving},
-                  {"born_ms", record.value->startTimeMs},
+                 {{"server", record.id},
+                  {"service", record.service},
+                  {"address", record.address},
+                  {"leaving", record.isLeaving},
+                  {"born_ms", record.startTimeMs},
                   {"era", position.era.value_or(0)},
                   {"revision", position.revision}});
     }
-    m_idOfKey[item.key] = record.value->id;
-    m_table.upsert(std::move(*record.value));
+    m_idOfKey[key] = record.id;
+    m_table.upsert(std::move(record));
+}
+
+void BackendRegistry::logKept(const BackendRecord &record, std::string_view fact)
+{
+    if (m_contradicted.size() >= maxContradicted || !m_contradicted.insert(record.id).second) {
+        return;
+    }
+    logEvent(LogLevel::Warning,
+             "older state of a server ignored",
+             {{"server", record.id},
+              {"kept", fact},
+              {"born_ms", record.startTimeMs},
+              {"era", m_position.era.value_or(0)},
+              {"revision", m_position.revision}});
 }
 
-void BackendRegistry::removeOrDelay(TimePoint now, const std::string &key)
+void BackendRegistry::removeOrDelay(TimePoint now, const std::optional<StoreEra> &era, const std::string &key)
 {
+    m_held.erase(key);
     const auto it = m_idOfKey.find(key);
     if (it == m_idOfKey.end()) {
         return;
@@ -88,6 +175,10 @@
         return;
     }
     logEvent(LogLevel::Info, "server gone", {{"server", it->second}});
+    if (const auto *known = m_table.find(it->second)) {
+        m_removed.add(now, known->record, era);
+    }
+    m_contradicted.erase(it->second);
     m_table.remove(it->second);
     m_delayedRemovals.erase(key);
     m_idOfKey.erase(it);
@@ -102,8 +193,19 @@
         }
     }
     for (const auto &it : due) {
-        removeOrDelay(now, it);
+        removeOrDelay(now, m_position.era, it);
+    }
+    for (auto it = m_held.begin(); it != m_held.end();) {
+        if (now < it->second.dueAt) {
+            ++it;
+            continue;
+        }
+        m_contradicted.erase(it->second.record.id);
+        m_removed.erase(it->second.record.id);
+        use(m_position, it->first, std::move(it->second.record));
+        it = m_held.erase(it);
     }
+    m_removed.expire(now);
 }
 
 } // namespace turmericline
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_table.h"
+#include "removed_servers.h"
 #include "store_feed.h"
 
 #include <map>
@@ -12,29 +13,53 @@
 /**
  * Updates the table of backend servers from their announcements in the store.
  *
- * Announcements expire during an outage of the store although their servers are alive. Removals that are seen shortly
- * after an outage are therefore delayed until the servers have had time to announce themselves again.
+ * One run of a server only goes forward: from ready to leaving, and to gone. A store that is restored from a copy, or a
+ * stale read, gives an older state, which does not undo what is known.
+ *
+ * Announcements expire during an outage of the store although their servers are alive, and a copy lacks those made since.
+ * Removals that are seen shortly after an outage or in a new era are therefore delayed until the servers have had time to
+ * announce themselves again.
  */
 class BackendRegistry
 {
 public:
     BackendRegistry(const GatewayDialect &dialect, BackendTable &table);
 
-    /** Applies @p change. @p outage is the time for which the store could not be read before it. */
-    void apply(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage);
-    /** Applies the delayed removals that are due. */
+    /**
+     * Applies @p change and returns the number of known facts that it contradicts, which are kept. @p outage is the time
+     * for which the store could not be read before it.
+     */
+    std::size_t apply(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage);
+    /** Applies what was delayed and is due. */
     void tick(TimePoint now);
 
 private:
-    void upsert(const StorePosition &position, const StoreItem &item);
-    void removeOrDelay(TimePoint now, const std::string &key);
+    /** An announcement of a server that was known to be gone before the era began. */
+    struct HeldAnnouncement
+    {
+        BackendRecord record;
+        TimePoint dueAt{};
+    };
+
+    /** Returns whether a known fact was kept against the announcement. */
+    bool onAnnouncement(TimePoint now, const StorePosition &position, const StoreItem &item);
+    bool mergeKnown(BackendRecord &record, const BackendRecord &known);
+    bool holdIfRemoved(TimePoint now, const StorePosition &position, const std::string &key, BackendRecord &record);
+    void use(const StorePosition &position, const std::string &key, BackendRecord record);
+    void logKept(const BackendRecord &record, std::string_view fact);
+    void removeOrDelay(TimePoint now, const std::optional<StoreEra> &era, const std::string &key);
 
     const GatewayDialect &m_dialect;
     BackendTable &m_table;
     std::map<std::string, std::string> m_idOfKey;
     std::map<std::string, TimePoint> m_delayedRemovals; ///< Due time by key.
+    std::map<std::string, HeldAnnouncement> m_held; ///< By key.
+    RemovedServers m_removed;
     std::set<std::string> m_rejected; ///< Keys with an invalid announcement that has been logged.
+    std::set<std::string> m_contradicted; ///< Servers of which an older state was ignored and logged.
+    StorePosition m_position; ///< After the last change.
     TimePoint m_delaysRemovalsUntil{};
+    TimePoint m_holdsUntil{}; ///< Servers that were gone before this era are not used again before this time.
 };
 
 } // namespace turmericline
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -290,9 +290,11 @@
 
 void Gateway::onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
 {
-    m_registry.apply(now, change, outage);
+    const auto keptFacts = m_registry.apply(now, change, outage);
+    m_metrics.recordKeptFacts(keptFacts);
     if (change.replaced) {
-        logNewEra(m_dialect.serverPrefix, change, outage, 0);
+        m_metrics.recordNewEra();
+        logNewEra(m_dialect.serverPrefix, change, outage, keptFacts);
     }
 }
 
@@ -308,11 +310,12 @@
 
 void Gateway::onConfig(const StoreChange &change, std::chrono::milliseconds outage)
 {
-    if (change.replaced) {
-        logNewEra(m_dialect.configKey, change, outage, 0);
-    }
     const auto activeVersion = m_table ? m_table->config().version : 0;
     auto config = newerConfig(m_dialect, change, activeVersion);
+    if (change.replaced) {
+        // A copy without a newer configuration has the active one or an older one, which does not replace it.
+        logNewEra(m_dialect.configKey, change, outage, m_table && !config ? 1 : 0);
+    }
     if (!config) {
         return;
     }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -36,6 +36,14 @@
     , m_total(family<prometheus::Histogram>(
           *m_registry, "turmericline_gateway_request_seconds", "From arrival to the end of the answer"))
     , m_gauges(family<prometheus::Gauge>(*m_registry, "turmericline_gateway_state", "State of the process by name"))
+    , m_keptFacts(family<prometheus::Counter>(*m_registry,
+                                              "turmericline_gateway_kept_facts_total",
+                                              "Known facts about servers that an older state of the store did not undo")
+                      .Add({}))
+    , m_newEras(family<prometheus::Counter>(*m_registry,
+                                            "turmericline_gateway_store_restores_total",
+                                            "Times that the store came back from a copy")
+                    .Add({}))
 {
 }
 
@@ -72,6 +80,16 @@
     m_requests.Add({{"class", "none"}, {"status", std::to_string(status)}}).Increment();
 }
 
+void GatewayMetrics::recordKeptFacts(std::size_t n)
+{
+    m_keptFacts.Increment(static_cast<double>(n));
+}
+
+void GatewayMetrics::recordNewEra()
+{
+    m_newEras.Increment();
+}
+
 void GatewayMetrics::setConfigVersion(std::uint64_t version)
 {
     m_gauges.Add({{"name", "config_version"}}).Set(static_cast<double>(version));
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -23,6 +23,10 @@
     void recordExchange(const Exchange &exchange, std::chrono::steady_clock::duration total);
     /** Counts a request that was refused without an attempt at a server. */
     void recordRefusal(int status);
+    /** Counts known facts about servers that an older state of the store did not undo. */
+    void recordKeptFacts(std::size_t n);
+    /** Counts a restore of the store from a copy. */
+    void recordNewEra();
     void setConfigVersion(std::uint64_t version);
     void setCounts(std::size_t callers, std::size_t inFlight, std::uint64_t storeCalls, std::uint64_t opened);
     /** Prometheus text exposition format. */
@@ -37,6 +41,8 @@
     prometheus::Family<prometheus::Histogram> &m_firstByte;
     prometheus::Family<prometheus::Histogram> &m_total;
     prometheus::Family<prometheus::Gauge> &m_gauges;
+    prometheus::Counter &m_keptFacts;
+    prometheus::Counter &m_newEras;
     std::set<std::string> m_labelledWorkspaces; ///< Workspaces that have their own label value.
 };
 
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -139,6 +139,10 @@
     m_isWatching = !m_config.stalePollPeriod;
     if (m_config.stalePollPeriod) {
         m_dueAt = now + *m_config.stalePollPeriod;
+        if (m_position.era == m_era.current() && revision < m_position.revision) {
+            m_pages.clear(); // A stale read that is older than the last one.
+            return std::nullopt;
+        }
     }
     return changeTo(revision, std::exchange(m_pages, {}), true);
 }
