Give a server no requests while its announcement is invalid

An announcement that cannot be read names no server, but the gateway went on with the one before it, so a leave that was written over, or that cannot be read, was never seen. Cause: BackendRegistry logged and ignored it. Change: the server gets no requests until an announcement of it can be read; its counts and pauses stay, and it is not taken for a server that has ended. The case 'An invalid value under the key of a known server does not remove the server' asked for the former behaviour only by its name: its check (the server stays in the table) is kept in serverWithInvalidAnnouncementGetsNoRequests, which also asks that it gets no requests, and that it gets them again. It fails on the code before.

--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -72,6 +72,10 @@
         if (m_rejected.size() < maxRejected && m_rejected.insert(item.key).second) {
             logEvent(LogLevel::Warning, "server announcement rejected", {{"key", item.key}, {"reason", parsed.reason}});
         }
+        m_held.erase(item.key);
+        if (const auto known = m_idOfKey.find(item.key); known != m_idOfKey.end()) {
+            m_table.withhold(known->second);
+        }
         return false;
     }
     auto &record = *parsed.value;
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -72,6 +72,7 @@
             slot->pausedUntil = {};
         }
         slot->record = std::move(record);
+        slot->isWithheld = false;
         return;
     }
     if (slot) {
@@ -82,6 +83,13 @@
     m_services[slot->record.service].push_back(slot);
 }
 
+void BackendTable::withhold(std::string_view id)
+{
+    if (auto *it = findMutable(id)) {
+        it->isWithheld = true;
+    }
+}
+
 void BackendTable::remove(std::string_view id)
 {
     const auto it = m_backends.find(id);
@@ -120,6 +128,11 @@
     return backend.inFlight + backend.othersInFlight * std::exp2(-age / loadHalfLife);
 }
 
+bool BackendTable::isOpen(const Backend &backend)
+{
+    return !backend.record.isLeaving && !backend.record.isGroupBroken && !backend.isWithheld;
+}
+
 double BackendTable::score(TimePoint now, const Backend &backend) const
 {
     const double distance = backend.record.domain == m_domain ? 0 : remotePenalty;
@@ -144,7 +157,7 @@
     bool isFresh = true;
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
-        if (it->record.isLeaving || it->record.isGroupBroken || it->pausedUntil > now || wasTried) {
+        if (!isOpen(*it) || it->pausedUntil > now || wasTried) {
             continue;
         }
         const bool isKnown = it->groupLoadAt + freshLoadTime > now;
@@ -168,7 +181,7 @@
     const auto servers = m_services.find(service);
     return servers == m_services.end()
            || std::all_of(servers->second.begin(), servers->second.end(), [now](const auto &it) {
-                  return it->record.isLeaving || it->record.isGroupBroken || (it->pausedUntil > now && it->isDown);
+                  return !isOpen(*it) || (it->pausedUntil > now && it->isDown);
               });
 }
 
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -66,6 +66,7 @@
     TimePoint groupLoadAt{}; ///< Time of the last report that covered the whole group.
     std::uint32_t failures = 0; ///< Consecutive failures.
     TimePoint pausedUntil{}; ///< The server gets no requests before this time.
+    bool isWithheld = false; ///< Its last announcement is invalid, so it gets no requests until a valid one.
     bool isDown = false; ///< The pause was caused by a fault rather than a lack of capacity.
 };
 
@@ -109,6 +110,8 @@
 
     /** Adds or updates a server; a new incarnation starts with a clean state. */
     void upsert(BackendRecord record);
+    /** Gives a server no requests until the next upsert(). */
+    void withhold(std::string_view id);
     void remove(std::string_view id);
     const Backend *find(std::string_view id) const;
     std::vector<std::string> ids() const;
@@ -135,6 +138,8 @@
 private:
     /** Estimated number of requests of all gateways at @p backend. */
     static double load(TimePoint now, const Backend &backend);
+    /** Whether the server takes requests at all, apart from pauses. */
+    static bool isOpen(const Backend &backend);
     double score(TimePoint now, const Backend &backend) const;
     static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
--- a/tests/unit_store_feed_test.cpp
+++ b/tests/unit_store_feed_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(expiredServerIsKeptAfterOutage);
     CPPUNIT_TEST(deletedServerIsRemovedWithoutOutage);
     CPPUNIT_TEST(invalidAnnouncementAddsNoServer);
+    CPPUNIT_TEST(serverWithInvalidAnnouncementGetsNoRequests);
     CPPUNIT_TEST(newIncarnationStartsWithCleanState);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,10 +194,23 @@
             registry.apply(m_now, events({{"servers/x", value, false}}), 0ms);
             CPPUNIT_ASSERT(table.find("x") == nullptr);
         }
-        // An invalid value under the key of a known server does not remove the server.
+    }
+
+    /** The server may have said in it that it leaves. What is known of its state otherwise stays. */
+    void serverWithInvalidAnnouncementGetsNoRequests()
+    {
+        BackendTable table("z");
+        BackendRegistry registry(m_dialect, table);
         registry.apply(m_now, snapshot({server("a")}), 0ms);
+        table.onFault(m_now, "a", BackendFault::Unreachable);
         registry.apply(m_now, events({{"servers/a", "junk", false}}), 0ms);
         CPPUNIT_ASSERT(table.find("a") != nullptr);
+        m_now += 10s;
+        CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, m_random));
+        CPPUNIT_ASSERT(table.isDown(m_now, "s"));
+        registry.apply(m_now, events({server("a")}), 0ms);
+        CPPUNIT_ASSERT(table.choose(m_now, "s", {}, m_random).has_value());
+        CPPUNIT_ASSERT_EQUAL(1U, table.find("a")->failures);
     }
 
     void newIncarnationStartsWithCleanState()
