Void the watches of all feeds once one of them knows of a new era

Cause: a watch that the store keeps open over a restore does not see what was written again before it was looked at, and no answer tells of the era before the watch ends; that of the servers waits 8 s. Change: the configuration is watched for 2 s at a time by the same gateway, so the feeds share what they know: a watch that began in an earlier era is given up and all items are read again. unit.store_era has the case.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -357,6 +357,8 @@
 void Gateway::tick()
 {
     const auto now = std::chrono::steady_clock::now();
+    m_configReader.onKnownEra(now, m_serverReader.feed().era());
+    m_serverReader.onKnownEra(now, m_configReader.feed().era());
     m_configReader.tick(now);
     m_serverReader.tick(now);
     m_registry.tick(now);
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -43,6 +43,16 @@
                      m_config.responseTimeout};
 }
 
+bool StoreFeed::onKnownEra(TimePoint now, std::optional<StoreEra> era, std::mt19937_64 &random)
+{
+    if (!m_era.hasAnswer() || !(m_era.current() < era) || !m_isWatching) {
+        return false;
+    }
+    m_isWatching = false;
+    rereadLater(now, random);
+    return true;
+}
+
 void StoreFeed::onStoreReplaced(TimePoint now, std::mt19937_64 &random)
 {
     m_era = {};
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -22,7 +22,7 @@
     std::chrono::milliseconds responseTimeout{1'000}; ///< Of a call; a watch waits in addition to it.
     std::chrono::milliseconds minBackoff{50};
     std::chrono::milliseconds maxBackoff{800};
-    /** In a new era, lost changes are written again for this long; until then, the state is not confirmed to be current. */
+    /** After a restore, lost changes are written again for this long; until then, the state is not confirmed to be current. */
     std::chrono::milliseconds settleTime{0};
 };
 
@@ -57,6 +57,12 @@
     /** Handles the response to the current call. Returns nothing if more pages follow or the call has failed. */
     std::optional<StoreChange>
     onAnswer(TimePoint now, BootTime bootNow, const HttpReply &answer, std::mt19937_64 &random);
+    /**
+     * Called with the era that another feed of the same store knows. If it is later than that of this feed, the current call
+     * is void, since a watch that began before may not see what was written again; all items are read again. Returns
+     * whether that is so.
+     */
+    bool onKnownEra(TimePoint now, std::optional<StoreEra> era, std::mt19937_64 &random);
     /** Called if calls go to another store from now on, whose eras have nothing to do with those of the former one. */
     void onStoreReplaced(TimePoint now, std::mt19937_64 &random);
     /** Sets the time over which the feeds of all gateways that learn of a new era spread their reads. */
@@ -64,6 +70,12 @@
     /** Called if the current call ended without a complete response. */
     void onFailure(TimePoint now, std::string reason, std::mt19937_64 &random);
 
+    /** Era of the last accepted answer. */
+    std::optional<StoreEra> era() const
+    {
+        return m_era.current();
+    }
+
     /** State of the store that the items passed on so far reflect. */
     const StorePosition &position() const
     {
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -58,6 +58,13 @@
     }
 }
 
+void StoreReader::onKnownEra(TimePoint now, std::optional<StoreEra> era)
+{
+    if (m_feed.onKnownEra(now, era, m_random)) {
+        ++m_callNumber;
+    }
+}
+
 void StoreReader::setRereadSpread(std::chrono::milliseconds spread)
 {
     m_feed.setRereadSpread(spread);
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -35,6 +35,8 @@
 
     void tick(TimePoint now);
     void setAddress(std::string address);
+    /** See StoreFeed::onKnownEra(). */
+    void onKnownEra(TimePoint now, std::optional<StoreEra> era);
     void setRereadSpread(std::chrono::milliseconds spread);
 
     const StoreFeed &feed() const
--- a/tests/unit_store_era_test.cpp
+++ b/tests/unit_store_era_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(malformedOrMissingEraChangesNothing);
     CPPUNIT_TEST(storeWithoutErasIsOneEra);
     CPPUNIT_TEST(lowerEraOfAnotherStoreIsAccepted);
+    CPPUNIT_TEST(watchIsVoidOnceAnotherFeedKnowsOfNewEra);
     CPPUNIT_TEST(readsOfNewEraAreSpread);
     CPPUNIT_TEST(stateIsNotConfirmedBeforeNewEraHasSettled);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +203,20 @@
         CPPUNIT_ASSERT(answer(StoreModel().range(prefix))->replaced.has_value());
     }
 
+    /** A watch that the store kept open over the restore misses what was written again before it was looked at. */
+    void watchIsVoidOnceAnotherFeedKnowsOfNewEra()
+    {
+        CPPUNIT_ASSERT(!m_feed->onKnownEra(m_now, 2, m_random));
+        readAndWatch();
+        CPPUNIT_ASSERT(!m_feed->onKnownEra(m_now, std::nullopt, m_random));
+        CPPUNIT_ASSERT(!m_feed->onKnownEra(m_now, 1, m_random));
+        CPPUNIT_ASSERT(m_feed->onKnownEra(m_now, 2, m_random));
+        CPPUNIT_ASSERT(!m_feed->onKnownEra(m_now, 2, m_random));
+        CPPUNIT_ASSERT(isRead(takeCall()));
+        m_store.restore(m_store);
+        CPPUNIT_ASSERT(answer(m_store.range(prefix))->replaced.has_value());
+    }
+
     /** Without it, all gateways of a large fleet would read in the same moment. */
     void readsOfNewEraAreSpread()
     {
