Do not confirm the first configuration that a gateway reads after an outage at once

Change: if a call has failed before the first answer, the settle time of a new era holds as well. A gateway that starts after the store is back still cannot know (docs/design.md). Also: a feed without a settle time confirms the state of a new era with its first read. Before, the time at which the era was seen counted, which is later than the start of that read, so that the servers' state was confirmed only by the next watch. Cases of unit.store_era fail without either.

--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -67,12 +67,17 @@
 std::optional<StoreChange>
 StoreFeed::onAnswer(TimePoint now, BootTime bootNow, const HttpReply &answer, std::mt19937_64 &random)
 {
+    const bool isFirstAfterOutage = !m_era.hasAnswer() && m_failingSince;
     const auto era = m_dialect.readEra(answer.headers);
     const auto isNewEra = era ? m_era.accept(*era.value) : Result<bool>::fail(era.reason);
     if (!isNewEra) {
         onFailure(now, isNewEra.reason, random);
         return std::nullopt;
     }
+    if (isFirstAfterOutage) {
+        // The store may have come back from a copy; without an earlier answer, its era does not tell.
+        settle(bootNow);
+    }
     if (*isNewEra.value) {
         // The first page of a read is of the new era as a whole; other answers continue from the previous one.
         const bool isContinued = m_isWatching || !m_pages.empty();
@@ -110,7 +115,14 @@
     m_isWatching = false;
     m_pages.clear();
     m_snapshotRevision.reset();
-    m_settledAt = bootNow + m_config.settleTime;
+    settle(bootNow);
+}
+
+void StoreFeed::settle(BootTime bootNow)
+{
+    if (m_config.settleTime > 0ms) {
+        m_settledAt = bootNow + m_config.settleTime;
+    }
 }
 
 void StoreFeed::rereadLater(TimePoint now, std::mt19937_64 &random)
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -106,6 +106,8 @@
 
 private:
     void beginEra(BootTime bootNow);
+    /** Has the state not be confirmed before the settle time is over. */
+    void settle(BootTime bootNow);
     void rereadLater(TimePoint now, std::mt19937_64 &random);
     void confirm(BootTime at);
     std::optional<StoreChange> onPage(TimePoint now, StorePage page);
--- a/tests/unit_store_era_test.cpp
+++ b/tests/unit_store_era_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(watchIsVoidOnceAnotherFeedKnowsOfNewEra);
     CPPUNIT_TEST(readsOfNewEraAreSpread);
     CPPUNIT_TEST(stateIsNotConfirmedBeforeNewEraHasSettled);
+    CPPUNIT_TEST(firstStateAfterOutageIsNotConfirmedBeforeItHasSettled);
     CPPUNIT_TEST_SUITE_END();
 
     static inline const std::string prefix = "servers/";
@@ -97,8 +98,11 @@
         CPPUNIT_ASSERT(!answer(*m_store.watch(prefix, before.revision, true)));
         CPPUNIT_ASSERT(!m_feed->failingSince());
         CPPUNIT_ASSERT(isRead(takeCall()));
+        const auto calledAt = bootNow();
+        m_now += 100ms;
         const auto change = answer(m_store.range(prefix));
         CPPUNIT_ASSERT(change->isSnapshot);
+        CPPUNIT_ASSERT(m_feed->confirmedAt() == calledAt);
         CPPUNIT_ASSERT(change->replaced == before);
         CPPUNIT_ASSERT(change->position == (StorePosition{2, m_store.revision()}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, change->items.size());
@@ -260,6 +264,25 @@
         CPPUNIT_ASSERT(m_feed->confirmedAt() >= BootTime((foundAt + settleTime).time_since_epoch()));
         CPPUNIT_ASSERT(takeCall().ends_with("wait_ms=2000"));
     }
+
+    /** A process that starts while the store is away does not know its former era. */
+    void firstStateAfterOutageIsNotConfirmedBeforeItHasSettled()
+    {
+        constexpr auto settleTime = 2'300ms;
+        makeFeed(settleTime);
+        takeCall();
+        answer({503, {}, ""});
+        takeCall();
+        const auto backAt = m_now;
+        CPPUNIT_ASSERT(answer(m_store.range(prefix)).has_value());
+        while (m_now < backAt + settleTime) {
+            CPPUNIT_ASSERT(!m_feed->confirmedAt());
+            takeCall();
+            m_now = std::min(m_now + 2s, backAt + settleTime);
+            answer(*m_store.watch(prefix, m_feed->position().revision, true));
+        }
+        CPPUNIT_ASSERT(m_feed->confirmedAt().has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreEraTest);
