Judge the era and the absence of the store by the answers that count

On a second reading of the settle time: an answer 503 or 429 without the header counted as an answer that states no era, so that the next one seemed to begin a new era, and a store without eras that had answered 503 was taken for one that was never away. Now only answers with a state (200, 404, 410) tell an era; a call without an answer or with 503 means that the store was away, 429 does not, as gateways that start together may get it. unit.store_era has both cases; rejectionForRateIsNoOutage and the store without eras in firstStateAfterOutageIsNotConfirmedBeforeItHasSettled guard them.

--- a/src/store_era.h
+++ b/src/store_era.h
@@ -29,12 +29,6 @@
      */
     Result<bool> accept(std::optional<StoreEra> era);
 
-    /** Whether an answer has been accepted. */
-    bool hasAnswer() const
-    {
-        return m_hasAnswer;
-    }
-
     std::optional<StoreEra> current() const
     {
         return m_current;
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -12,8 +12,14 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusGone = 410;
+constexpr int statusUnavailable = 503;
 constexpr std::uint32_t maxDoublings = 5;
 
+bool isUsable(int status)
+{
+    return status == statusOk || status == statusNotFound || status == statusGone;
+}
+
 } // namespace
 
 StoreFeed::StoreFeed(const GatewayDialect &dialect, StoreFeedConfig config)
@@ -45,7 +51,7 @@
 
 bool StoreFeed::onKnownEra(TimePoint now, std::optional<StoreEra> era, std::mt19937_64 &random)
 {
-    if (!m_era.hasAnswer() || !(m_era.current() < era) || !m_isWatching) {
+    if (!m_isWatching || !(m_era.current() < era)) {
         return false;
     }
     m_isWatching = false;
@@ -56,7 +62,7 @@
 void StoreFeed::onStoreReplaced(TimePoint now, std::mt19937_64 &random)
 {
     m_era = {};
-    onFailure(now, "the store's address has changed", random);
+    fail(now, "the store's address has changed", random);
 }
 
 void StoreFeed::setRereadSpread(std::chrono::milliseconds spread)
@@ -67,22 +73,27 @@
 std::optional<StoreChange>
 StoreFeed::onAnswer(TimePoint now, BootTime bootNow, const HttpReply &answer, std::mt19937_64 &random)
 {
-    const bool isFirstAfterOutage = !m_era.hasAnswer() && m_failingSince;
+    if (!isUsable(answer.status)) {
+        m_wasAway |= answer.status == statusUnavailable;
+        fail(now, "status " + std::to_string(answer.status), random);
+        return std::nullopt;
+    }
     const auto era = m_dialect.readEra(answer.headers);
     const auto isNewEra = era ? m_era.accept(*era.value) : Result<bool>::fail(era.reason);
     if (!isNewEra) {
-        onFailure(now, isNewEra.reason, random);
+        fail(now, isNewEra.reason, random);
         return std::nullopt;
     }
-    if (isFirstAfterOutage) {
+    if (m_wasAway && m_position.revision == 0) {
         // The store may have come back from a copy; without an earlier answer, its era does not tell.
         settle(bootNow);
     }
+    m_wasAway = false;
     if (*isNewEra.value) {
         // The first page of a read is of the new era as a whole; other answers continue from the previous one.
         const bool isContinued = m_isWatching || !m_pages.empty();
         beginEra(bootNow);
-        if (isContinued && (answer.status == statusOk || answer.status == statusGone)) {
+        if (isContinued) {
             rereadLater(now, random);
             return std::nullopt;
         }
@@ -94,13 +105,9 @@
         m_pages.clear();
         return std::nullopt;
     }
-    if (answer.status != statusOk && answer.status != statusNotFound) {
-        onFailure(now, "status " + std::to_string(answer.status), random);
-        return std::nullopt;
-    }
     auto page = m_dialect.readPage(answer.body);
     if (!page) {
-        onFailure(now, page.reason, random);
+        fail(now, page.reason, random);
         return std::nullopt;
     }
     m_isCalling = false;
@@ -177,6 +184,12 @@
 }
 
 void StoreFeed::onFailure(TimePoint now, std::string reason, std::mt19937_64 &random)
+{
+    m_wasAway = true;
+    fail(now, std::move(reason), random);
+}
+
+void StoreFeed::fail(TimePoint now, std::string reason, std::mt19937_64 &random)
 {
     m_isCalling = false;
     // Continue with a read, which returns at once and so confirms the state sooner than a watch.
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -105,6 +105,7 @@
     }
 
 private:
+    void fail(TimePoint now, std::string reason, std::mt19937_64 &random);
     void beginEra(BootTime bootNow);
     /** Has the state not be confirmed before the settle time is over. */
     void settle(BootTime bootNow);
@@ -130,6 +131,7 @@
     std::optional<BootTime> m_confirmedAt;
     std::optional<TimePoint> m_failingSince;
     std::uint32_t m_failures = 0;
+    bool m_wasAway = false; ///< The store did not serve a call since its last usable answer.
     std::uint64_t m_calls = 0;
     std::string m_lastError;
 };
--- a/tests/unit_store_era_test.cpp
+++ b/tests/unit_store_era_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(watchIsVoidOnceAnotherFeedKnowsOfNewEra);
     CPPUNIT_TEST(readsOfNewEraAreSpread);
     CPPUNIT_TEST(stateIsNotConfirmedBeforeNewEraHasSettled);
+    CPPUNIT_TEST(rejectionForRateIsNoOutage);
     CPPUNIT_TEST(firstStateAfterOutageIsNotConfirmedBeforeItHasSettled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,11 +266,23 @@
         CPPUNIT_ASSERT(takeCall().ends_with("wait_ms=2000"));
     }
 
+    /** Otherwise many processes that start together would not be ready for the settle time. */
+    void rejectionForRateIsNoOutage()
+    {
+        makeFeed(2'300ms);
+        takeCall();
+        answer({429, {}, ""});
+        takeCall();
+        CPPUNIT_ASSERT(answer(m_store.range(prefix)).has_value());
+        CPPUNIT_ASSERT(m_feed->confirmedAt().has_value());
+    }
+
     /** A process that starts while the store is away does not know its former era. */
     void firstStateAfterOutageIsNotConfirmedBeforeItHasSettled()
     {
         constexpr auto settleTime = 2'300ms;
         makeFeed(settleTime);
+        m_store.setStatesEra(false);
         takeCall();
         answer({503, {}, ""});
         takeCall();
