Ignore earlier runs of a server that was removed, and tidy the registry on a second reading

An announcement of an earlier start was ignored only while a later one was in use; after its removal a copy could bring the earlier one back. announcementOfEarlierStartIsIgnored has the case now. The position of a change is a member of the registry and is no longer passed along with it.

--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -40,10 +40,10 @@
     std::set<std::string> present;
     for (const auto &it : change.items) {
         if (it.isDeleted) {
-            removeOrDelay(now, change.position.era, it.key);
+            removeOrDelay(now, it.key);
             continue;
         }
-        kept += onAnnouncement(now, change.position, it) ? 1 : 0;
+        kept += onAnnouncement(now, it) ? 1 : 0;
         present.insert(it.key);
     }
     if (!change.isSnapshot) {
@@ -59,12 +59,12 @@
         }
     }
     for (const auto &it : missing) {
-        removeOrDelay(now, change.position.era, it);
+        removeOrDelay(now, it);
     }
     return kept;
 }
 
-bool BackendRegistry::onAnnouncement(TimePoint now, const StorePosition &position, const StoreItem &item)
+bool BackendRegistry::onAnnouncement(TimePoint now, const StoreItem &item)
 {
     m_delayedRemovals.erase(item.key);
     auto parsed = m_dialect.readServer(item.key, item.value);
@@ -79,22 +79,20 @@
         return false;
     }
     auto &record = *parsed.value;
-    const auto *known = m_table.find(record.id);
-    const bool isOlderRun
-        = known != nullptr && record.startTimeMs != 0 && record.startTimeMs < known->record.startTimeMs;
-    if (isOlderRun) {
-        logKept(known->record, "later start");
+    const auto *used = m_table.find(record.id);
+    const auto *removed = m_removed.find(record.id);
+    const auto *known = used != nullptr ? &used->record : removed != nullptr ? &removed->record : nullptr;
+    if (known != nullptr && isEarlierIncarnation(record, *known)) {
+        logKept(*known, "later start");
         return true;
     }
-    const bool isKept
-        = known != nullptr ? mergeKnown(record, known->record) : holdIfRemoved(now, position, item.key, record);
+    const bool isKept = used != nullptr ? mergeKnown(record, *known) : holdIfRemoved(now, item.key, record);
     if (!m_held.contains(item.key)) {
-        use(position, item.key, std::move(record));
+        use(item.key, std::move(record));
     }
     return isKept;
 }
 
-/** Adds to @p record what is known of the same run of the server and cannot be undone. Returns whether that changes it. */
 bool BackendRegistry::mergeKnown(BackendRecord &record, const BackendRecord &known)
 {
     if (!isSameIncarnation(record, known)) {
@@ -111,19 +109,15 @@
     return isKept;
 }
 
-/** Returns whether something that is known of the server is kept: that it left, or that it was gone. */
-bool BackendRegistry::holdIfRemoved(TimePoint now,
-                                    const StorePosition &position,
-                                    const std::string &key,
-                                    BackendRecord &record)
+bool BackendRegistry::holdIfRemoved(TimePoint now, const std::string &key, BackendRecord &record)
 {
-    const auto *removed = m_removed.find(record);
-    if (removed == nullptr) {
+    const auto *removed = m_removed.find(record.id);
+    if (removed == nullptr || !isSameIncarnation(record, removed->record)) {
         m_held.erase(key);
         return false;
     }
     const bool isKept = mergeKnown(record, removed->record);
-    const bool isRestored = removed->era != position.era && now < m_holdsUntil;
+    const bool isRestored = removed->era != m_position.era && now < m_holdsUntil;
     if (!isRestored) {
         m_held.erase(key);
         m_removed.erase(record.id);
@@ -135,7 +129,7 @@
     return true;
 }
 
-void BackendRegistry::use(const StorePosition &position, const std::string &key, BackendRecord record)
+void BackendRegistry::use(const std::string &key, BackendRecord record)
 {
     const auto *known = m_table.find(record.id);
     if (known == nullptr || known->record != record) {
@@ -146,8 +140,8 @@
                   {"address", record.address},
                   {"leaving", record.isLeaving},
                   {"born_ms", record.startTimeMs},
-                  {"era", position.era.value_or(0)},
-                  {"revision", position.revision}});
+                  {"era", m_position.era.value_or(0)},
+                  {"revision", m_position.revision}});
     }
     m_idOfKey[key] = record.id;
     m_table.upsert(std::move(record));
@@ -167,7 +161,7 @@
               {"revision", m_position.revision}});
 }
 
-void BackendRegistry::removeOrDelay(TimePoint now, const std::optional<StoreEra> &era, const std::string &key)
+void BackendRegistry::removeOrDelay(TimePoint now, const std::string &key)
 {
     m_held.erase(key);
     const auto it = m_idOfKey.find(key);
@@ -180,7 +174,7 @@
     }
     logEvent(LogLevel::Info, "server gone", {{"server", it->second}});
     if (const auto *known = m_table.find(it->second)) {
-        m_removed.add(now, known->record, era);
+        m_removed.add(now, known->record, m_position.era);
     }
     m_contradicted.erase(it->second);
     m_table.remove(it->second);
@@ -197,7 +191,7 @@
         }
     }
     for (const auto &it : due) {
-        removeOrDelay(now, m_position.era, it);
+        removeOrDelay(now, it);
     }
     for (auto it = m_held.begin(); it != m_held.end();) {
         if (now < it->second.dueAt) {
@@ -206,7 +200,7 @@
         }
         m_contradicted.erase(it->second.record.id);
         m_removed.erase(it->second.record.id);
-        use(m_position, it->first, std::move(it->second.record));
+        use(it->first, std::move(it->second.record));
         it = m_held.erase(it);
     }
     m_removed.expire(now);
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -42,12 +42,14 @@
     };
 
     /** Returns whether a known fact was kept against the announcement. */
-    bool onAnnouncement(TimePoint now, const StorePosition &position, const StoreItem &item);
+    bool onAnnouncement(TimePoint now, const StoreItem &item);
+    /** Adds to @p record what is known of the same run and cannot be undone; returns whether that changes it. */
     bool mergeKnown(BackendRecord &record, const BackendRecord &known);
-    bool holdIfRemoved(TimePoint now, const StorePosition &position, const std::string &key, BackendRecord &record);
-    void use(const StorePosition &position, const std::string &key, BackendRecord record);
+    /** Holds the announcement if the server was gone before this era; returns whether a known fact was kept against it. */
+    bool holdIfRemoved(TimePoint now, const std::string &key, BackendRecord &record);
+    void use(const std::string &key, BackendRecord record);
     void logKept(const BackendRecord &record, std::string_view fact);
-    void removeOrDelay(TimePoint now, const std::optional<StoreEra> &era, const std::string &key);
+    void removeOrDelay(TimePoint now, const std::string &key);
 
     const GatewayDialect &m_dialect;
     BackendTable &m_table;
--- a/src/removed_servers.cpp
+++ b/src/removed_servers.cpp
@@ -17,6 +17,11 @@
     return a.id == b.id && (!isStated || a.startTimeMs == b.startTimeMs);
 }
 
+bool isEarlierIncarnation(const BackendRecord &a, const BackendRecord &b)
+{
+    return a.id == b.id && a.startTimeMs != 0 && a.startTimeMs < b.startTimeMs;
+}
+
 void RemovedServers::add(TimePoint now, const BackendRecord &record, std::optional<StoreEra> era)
 {
     if (m_servers.size() < maxRemoved || m_servers.contains(record.id)) {
@@ -24,10 +29,10 @@
     }
 }
 
-const RemovedServer *RemovedServers::find(const BackendRecord &record) const
+const RemovedServer *RemovedServers::find(const std::string &id) const
 {
-    const auto it = m_servers.find(record.id);
-    return it != m_servers.end() && isSameIncarnation(it->second.record, record) ? &it->second : nullptr;
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
 }
 
 void RemovedServers::erase(const std::string &id)
--- a/src/removed_servers.h
+++ b/src/removed_servers.h
@@ -22,8 +22,7 @@
 {
 public:
     void add(TimePoint now, const BackendRecord &record, std::optional<StoreEra> era);
-    /** Returns the removed server of which @p record is an announcement, if any. */
-    const RemovedServer *find(const BackendRecord &record) const;
+    const RemovedServer *find(const std::string &id) const;
     void erase(const std::string &id);
     void expire(TimePoint now);
 
@@ -33,5 +32,7 @@
 
 /** Whether both are announcements of the same run of a server. Announcements that state no start have one run for each id. */
 bool isSameIncarnation(const BackendRecord &a, const BackendRecord &b);
+/** Whether @p a is an announcement of an earlier run than @p b. */
+bool isEarlierIncarnation(const BackendRecord &a, const BackendRecord &b);
 
 } // namespace turmericline
--- a/tests/unit_backend_registry_test.cpp
+++ b/tests/unit_backend_registry_test.cpp
@@ -96,6 +96,12 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, restore({server("a", "ready", 1)}));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, m_table.find("a")->record.startTimeMs);
         CPPUNIT_ASSERT(!isUsed("a"));
+        apply({removal("a")}, false);
+        pass(3s);
+        CPPUNIT_ASSERT(m_table.find("a") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, restore({server("a", "ready", 1)}));
+        pass(60s);
+        CPPUNIT_ASSERT(!isUsed("a"));
     }
 
     void announcementWithoutStartDoesNotUndoLeave()
