--- a/tests/restore_simulation.cpp
+++ b/tests/restore_simulation.cpp
@@ -310,7 +310,7 @@
         return;
     }
     // A gateway without an earlier answer, and without a sign that the store was away, takes a copy for the current state;
-    // docs/design.md names this.
+    // docs/platform.md names this.
     if (isFirst && restores > 0 && m_now <= m_soundSince + rewriteTime + maxTransit) {
         m_gateway->copyTrustedAt = m_now;
     }
