Bound the reads that a wrong era of another feed causes

If one feed has once been told an era that is too high, the other one gave up its watch for it again and again, and each read was answered in the era that it knew: it called as fast as the store answers (the test allows 21 calls in 3 s). After a watch of some seconds it is still sent at once. wrongEraOfAnotherFeedCausesNoBusyLoop fails without the change.

--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -135,9 +135,8 @@
 void StoreFeed::rereadLater(TimePoint now, std::mt19937_64 &random)
 {
     m_isCalling = false;
-    m_dueAt = now
-              + std::chrono::milliseconds(
-                  std::uniform_int_distribution<int>(0, static_cast<int>(m_rereadSpread.count()))(random));
+    const auto delay = std::uniform_int_distribution<std::int64_t>(0, m_rereadSpread.count())(random);
+    m_dueAt = std::max(now + std::chrono::milliseconds(delay), m_startedAt + m_config.minCallPeriod);
 }
 
 void StoreFeed::confirm(BootTime at)
--- a/tests/unit_store_era_test.cpp
+++ b/tests/unit_store_era_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(storeWithoutErasIsOneEra);
     CPPUNIT_TEST(lowerEraOfAnotherStoreIsAccepted);
     CPPUNIT_TEST(watchIsVoidOnceAnotherFeedKnowsOfNewEra);
+    CPPUNIT_TEST(wrongEraOfAnotherFeedCausesNoBusyLoop);
     CPPUNIT_TEST(readsOfNewEraAreSpread);
     CPPUNIT_TEST(stateIsNotConfirmedBeforeNewEraHasSettled);
     CPPUNIT_TEST(rejectionForRateIsNoOutage);
@@ -222,6 +223,22 @@
         CPPUNIT_ASSERT(answer(m_store.range(prefix))->replaced.has_value());
     }
 
+    void wrongEraOfAnotherFeedCausesNoBusyLoop()
+    {
+        constexpr StoreEra wrongEra = 1'000'000;
+        readAndWatch();
+        const auto callsBefore = m_feed->callCount();
+        const auto end = m_now + 3s;
+        while (m_now < end) {
+            m_feed->onKnownEra(m_now, wrongEra, m_random);
+            takeCall();
+            m_now += 10ms;
+            answer(m_store.range(prefix));
+        }
+        const auto calls = static_cast<std::int64_t>(m_feed->callCount() - callsBefore);
+        CPPUNIT_ASSERT(calls <= 3s / StoreFeedConfig().minCallPeriod + 1);
+    }
+
     /** Without it, all gateways of a large fleet would read in the same moment. */
     void readsOfNewEraAreSpread()
     {
