Share the gateway's feed settings with the simulation, and remove what stood twice

StoreModel::dropHistory() was used by no test; the simulation calls it. - BackendRegistry::onAnnouncement() was long: reject() and lastRecord() are apart. Logs state an era in one form (0 for none). - The simulation's pairs have a type, and names that are not the field's are replaced.

--- a/fakes/fake_server.cpp
+++ b/fakes/fake_server.cpp
@@ -23,18 +23,24 @@
     return ec == std::errc{} && last == end ? std::optional(n) : std::nullopt;
 }
 
-std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name)
+std::optional<std::string_view> queryText(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
         const auto part = query.substr(0, query.find('&'));
         query.remove_prefix(std::min(query.size(), part.size() + 1));
         if (part.starts_with(name) && part.substr(name.size()).starts_with('=')) {
-            return parseNumber(part.substr(name.size() + 1));
+            return part.substr(name.size() + 1);
         }
     }
     return std::nullopt;
 }
 
+std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name)
+{
+    const auto text = queryText(query, name);
+    return text ? parseNumber(*text) : std::nullopt;
+}
+
 void replyJson(HttpResponder &responder, int status, const Json &value, HttpHeaders headers)
 {
     headers.emplace_back("Content-Type", "application/json");
--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -12,6 +12,8 @@
 using Json = nlohmann::json;
 using ResponderPtr = std::shared_ptr<HttpResponder>;
 
+/** Returns the value of @p name in a query such as "after=3&wait_ms=100"; std::nullopt if missing. */
+std::optional<std::string_view> queryText(std::string_view query, std::string_view name);
 /** Returns the value of @p name in a query such as "after=3&wait_ms=100"; std::nullopt if missing or not a number. */
 std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name);
 /** Parses all of @p text as an unsigned number. */
--- a/fakes/fake_store.cpp
+++ b/fakes/fake_store.cpp
@@ -6,16 +6,6 @@
 
 namespace {
 
-std::string queryText(std::string_view query, const std::string &name)
-{
-    const auto at = query.find(name + "=");
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto begin = at + name.size() + 1;
-    return std::string(query.substr(begin, query.find('&', begin) - begin));
-}
-
 void send(HttpResponder &responder, HttpReply reply)
 {
     responder.reply(reply.status, std::move(reply.headers), std::move(reply.body));
@@ -82,9 +72,9 @@
     case StoreOutage::None:
         break;
     }
-    const auto prefix = queryText(request.query, "prefix");
+    const std::string prefix(queryText(request.query, "prefix").value_or(""));
     if (request.path == "/v1/kv-range") {
-        send(*responder, m_state.range(prefix, queryText(request.query, "after")));
+        send(*responder, m_state.range(prefix, std::string(queryText(request.query, "after").value_or(""))));
     } else if (request.path == "/v1/kv-watch") {
         startWatch(prefix,
                    queryNumber(request.query, "after").value_or(0),
--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -26,7 +26,7 @@
 
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
-    /** With StoreOutage::None, ends an outage. Calls and watches that were not answered during it are cut. */
+    /** With StoreOutage::None, ends an outage: calls made during a silent one are cut, watches from before it go on. */
     void setOutage(StoreOutage outage);
 
     const StoreModel &state() const
--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -69,30 +69,43 @@
     m_delayedRemovals.erase(item.key);
     auto parsed = m_dialect.readServer(item.key, item.value);
     if (!parsed) {
-        if (m_rejected.size() < maxRejected && m_rejected.insert(item.key).second) {
-            logEvent(LogLevel::Warning, "server announcement rejected", {{"key", item.key}, {"reason", parsed.reason}});
-        }
-        m_held.erase(item.key);
-        if (const auto known = m_idOfKey.find(item.key); known != m_idOfKey.end()) {
-            m_table.withhold(known->second);
-        }
+        reject(item.key, parsed.reason);
         return false;
     }
     auto &record = *parsed.value;
-    const auto *used = m_table.find(record.id);
-    const auto *removed = m_removed.find(record.id);
-    const auto *known = used != nullptr ? &used->record : removed != nullptr ? &removed->record : nullptr;
+    const auto *known = lastRecord(record.id);
     if (known != nullptr && isEarlierIncarnation(record, *known)) {
         logKept(*known, "later start");
         return true;
     }
-    const bool isKept = used != nullptr ? mergeKnown(record, *known) : holdIfRemoved(now, item.key, record);
+    const bool isInTable = m_table.find(record.id) != nullptr;
+    const bool isKept = isInTable ? mergeKnown(record, *known) : holdIfRemoved(now, item.key, record);
     if (!m_held.contains(item.key)) {
         use(item.key, std::move(record));
     }
     return isKept;
 }
 
+void BackendRegistry::reject(const std::string &key, const std::string &reason)
+{
+    if (m_rejected.size() < maxRejected && m_rejected.insert(key).second) {
+        logEvent(LogLevel::Warning, "server announcement rejected", {{"key", key}, {"reason", reason}});
+    }
+    m_held.erase(key);
+    if (const auto known = m_idOfKey.find(key); known != m_idOfKey.end()) {
+        m_table.withhold(known->second);
+    }
+}
+
+const BackendRecord *BackendRegistry::lastRecord(const std::string &id) const
+{
+    if (const auto *it = m_table.find(id)) {
+        return &it->record;
+    }
+    const auto *removed = m_removed.find(id);
+    return removed == nullptr ? nullptr : &removed->record;
+}
+
 bool BackendRegistry::mergeKnown(BackendRecord &record, const BackendRecord &known)
 {
     if (!isSameIncarnation(record, known)) {
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -43,6 +43,10 @@
 
     /** Returns whether a known fact was kept against the announcement. */
     bool onAnnouncement(TimePoint now, const StoreItem &item);
+    /** Gives the server with this invalid announcement no requests, if it is known. */
+    void reject(const std::string &key, const std::string &reason);
+    /** Last announcement of a server that is in use or was removed; null if neither. */
+    const BackendRecord *lastRecord(const std::string &id) const;
     /** Adds to @p record what is known of the same run and cannot be undone; returns whether that changes it. */
     bool mergeKnown(BackendRecord &record, const BackendRecord &known);
     /** Holds the announcement if the server was gone before this era; returns whether a known fact was kept against it. */
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "gateway_feed.h"
 #include "log.h"
 #include "store_config.h"
 #include "suspect_codec.h"
@@ -17,17 +18,6 @@
 
 /** Period of the timeout checks of all connections and calls: a tenth of the shortest timeout. */
 constexpr std::chrono::milliseconds tickPeriod{50};
-/** Subtracted from the bound on removed keys, to allow for the transit time of a request and one tick. */
-constexpr std::chrono::milliseconds freshnessMargin{300};
-/** Long poll of the servers; it may be longer than that of the configuration, which must be confirmed often. */
-constexpr std::chrono::milliseconds serverWatchWait{8'000};
-/** Minimum time between server reads. Servers keep serving for 2 s after they announce that they leave. */
-constexpr std::chrono::milliseconds serverWatchPeriod{400};
-/** The operators write lost changes again at once, backend servers within about 2 s. */
-constexpr std::chrono::milliseconds configSettleTime{2'300};
-/** When a new era begins, all gateways read; this spreads 2 reads of each so that 1,900 gateways send 4,000 a second. */
-constexpr std::chrono::microseconds rereadSpreadPerGateway{500};
-constexpr std::chrono::milliseconds minRereadSpread{100};
 constexpr std::chrono::milliseconds settingsCheckPeriod{1'000};
 /** The process exits this long before the end of the grace period, so that the last bytes can still be sent. */
 constexpr std::chrono::milliseconds exitMargin{500};
@@ -72,28 +62,6 @@
     }
 }
 
-StoreFeedConfig feedConfig(std::string prefix)
-{
-    StoreFeedConfig config;
-    config.prefix = std::move(prefix);
-    return config;
-}
-
-StoreFeedConfig configFeedConfig(std::string key)
-{
-    auto config = feedConfig(std::move(key));
-    config.settleTime = configSettleTime;
-    return config;
-}
-
-StoreFeedConfig serverFeedConfig(std::string prefix)
-{
-    auto config = feedConfig(std::move(prefix));
-    config.watchWait = serverWatchWait;
-    config.minCallPeriod = serverWatchPeriod;
-    return config;
-}
-
 } // namespace
 
 Gateway::Gateway(asio::io_context &io, const GatewaySettings &settings, GatewayDialect dialect)
@@ -212,7 +180,7 @@
         refuse(*connection, caller, {503, "the instance is stopping", drainRetryAfter});
         return;
     }
-    auto routed = routeRequest(now, m_table, configFreshness(), caller, std::move(head), std::move(body), m_random);
+    auto routed = routeRequest(now, m_table, freshness(), caller, std::move(head), std::move(body), m_random);
     if (const auto *reply = std::get_if<Reply>(&routed)) {
         refuse(*connection, caller, *reply);
         return;
@@ -245,7 +213,7 @@
               {"config_version", m_table ? m_table->config().version : 0},
               {"config_age_ms", age.count()}});
     m_metrics.recordRefusal(reply.status);
-    if (configFreshness() != ConfigFreshness::Recent) {
+    if (freshness() != ConfigFreshness::Recent) {
         // Makes the caller reconnect, which takes it to an instance that can reach the store, if there is one.
         connection.closeAfterResponse();
     }
@@ -329,19 +297,15 @@
     }
 }
 
-ConfigFreshness Gateway::configFreshness() const
+ConfigFreshness Gateway::freshness() const
 {
-    const auto confirmed = m_configReader.feed().confirmedAt();
-    if (!m_table || !confirmed) {
-        return ConfigFreshness::Missing;
-    }
-    const auto age = BootClock::now() - *confirmed;
-    return age < m_settings.revokeBound - freshnessMargin ? ConfigFreshness::Recent : ConfigFreshness::Stale;
+    return m_table ? configFreshness(m_configReader.feed().confirmedAt(), BootClock::now(), m_settings.revokeBound)
+                   : ConfigFreshness::Missing;
 }
 
 bool Gateway::isReady() const
 {
-    return !m_drainingSince && configFreshness() == ConfigFreshness::Recent && m_serverReader.feed().confirmedAt();
+    return !m_drainingSince && freshness() == ConfigFreshness::Recent && m_serverReader.feed().confirmedAt();
 }
 
 void Gateway::scheduleTick()
@@ -389,9 +353,8 @@
 /** Updates what depends on the number of gateways: the retry allowance of this one, and the spread of reads. */
 void Gateway::onGatewayCount(std::size_t gateways)
 {
-    const auto spread = std::chrono::ceil<std::chrono::milliseconds>(rereadSpreadPerGateway * gateways);
-    m_configReader.setRereadSpread(std::max(spread, minRereadSpread));
-    m_serverReader.setRereadSpread(std::max(spread, minRereadSpread));
+    m_configReader.setRereadSpread(rereadSpread(gateways));
+    m_serverReader.setRereadSpread(rereadSpread(gateways));
     m_retryConfig = retryConfig(m_settings, gateways);
     for (auto &[service, window] : m_retries) {
         window.setLimits(m_retryConfig.ratio, m_retryConfig.allowance);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -50,7 +50,7 @@
     ServerBasis serverBasis() const;
     void refuse(CallerConnection &connection, const CallerFields &caller, const Reply &reply);
     void onCallEnd(const GatewayCall &call);
-    ConfigFreshness configFreshness() const;
+    ConfigFreshness freshness() const;
     bool isReady() const;
     void onGatewayCount(std::size_t gateways);
     void waitForSignal();
--- /dev/null
+++ b/src/gateway_feed.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gateway_route.h"
+#include "store_feed.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace turmericline {
+
+/** Feed of the configuration, whose state must be confirmed often. */
+StoreFeedConfig configFeedConfig(std::string key);
+/** Feed of the announcements of backend servers. */
+StoreFeedConfig serverFeedConfig(std::string prefix);
+
+/** Time over which @p gateways gateways spread their reads when a new era of the store begins. */
+std::chrono::milliseconds rereadSpread(std::size_t gateways);
+
+/** Whether a configuration that was last confirmed at @p confirmedAt still proves that a key has not been removed. */
+ConfigFreshness
+configFreshness(std::optional<BootTime> confirmedAt, BootTime now, std::chrono::milliseconds revokeBound);
+
+} // namespace turmericline
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -10,12 +10,6 @@
 constexpr std::chrono::milliseconds outageLogDelay{500};
 constexpr int statusOk = 200;
 
-/** Null if the store states no era. */
-nlohmann::json eraJson(const StorePosition &position)
-{
-    return position.era ? nlohmann::json(*position.era) : nlohmann::json();
-}
-
 } // namespace
 
 void logNewEra(std::string_view prefix,
@@ -26,9 +20,9 @@
     logEvent(LogLevel::Warning,
              "store restored from a copy",
              {{"prefix", prefix},
-              {"era", eraJson(change.position)},
+              {"era", change.position.era.value_or(0)},
               {"revision", change.position.revision},
-              {"replaced_era", eraJson(*change.replaced)},
+              {"replaced_era", change.replaced->era.value_or(0)},
               {"replaced_revision", change.replaced->revision},
               {"outage_ms", outage.count()},
               {"kept_facts", keptFacts}});
--- a/tests/fuzz_restored_store_test.cpp
+++ b/tests/fuzz_restored_store_test.cpp
@@ -40,8 +40,10 @@
             simulation.saveCopy();
         } else if (op < 23) {
             simulation.restartGateway();
-        } else {
+        } else if (a % 2 == 0) {
             simulation.answerFromEarlierEra();
+        } else {
+            simulation.dropHistory();
         }
     }
 
--- a/tests/restore_simulation.cpp
+++ b/tests/restore_simulation.cpp
@@ -1,5 +1,7 @@
 #include "restore_simulation.h"
 
+#include "fake_server.h"
+#include "gateway_feed.h"
 #include "store_config.h"
 
 #include <fmt/format.h>
@@ -10,33 +12,12 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds configWait{2'000};
-constexpr std::chrono::milliseconds serverWait{8'000};
-constexpr std::chrono::milliseconds serverCallPeriod{400};
-constexpr std::chrono::milliseconds settleTime{2'300};
 /** Longest time that an answer of the store travels. */
 constexpr std::chrono::milliseconds maxTransit{300};
-constexpr std::chrono::milliseconds rereadSpread{100};
-/** As the gateway's, which subtracts the transit time of a request and one tick. */
-constexpr std::chrono::milliseconds freshnessMargin{300};
 
-StoreFeedConfig feedConfig(std::string prefix, std::chrono::milliseconds wait)
+std::string_view queryOf(std::string_view target)
 {
-    StoreFeedConfig config;
-    config.prefix = std::move(prefix);
-    config.watchWait = wait;
-    return config;
-}
-
-/** Value of a field of the query of @p target. */
-std::string fieldOf(const std::string &target, const std::string &name)
-{
-    const auto at = target.find("&" + name + "=");
-    if (at == std::string::npos) {
-        return {};
-    }
-    const auto begin = at + name.size() + 2;
-    return target.substr(begin, target.find('&', begin) - begin);
+    return target.substr(target.find('?') + 1);
 }
 
 bool isWatch(const std::string &target)
@@ -44,12 +25,6 @@
     return target.find("kv-watch") != std::string::npos;
 }
 
-std::string prefixOf(const std::string &target)
-{
-    const auto begin = target.find("prefix=") + 7;
-    return target.substr(begin, target.find('&', begin) - begin);
-}
-
 } // namespace
 
 RestoreSimulation::RestoreSimulation(std::uint64_t seed, RestoreSafeguard missing)
@@ -106,21 +81,26 @@
 
 void RestoreSimulation::restartGateway()
 {
-    auto configFeed = feedConfig(m_dialect.configKey, configWait);
-    configFeed.settleTime = m_missing == RestoreSafeguard::SettleTime ? 0ms : settleTime;
-    auto serverFeed = feedConfig(m_dialect.serverPrefix, serverWait);
-    serverFeed.minCallPeriod = serverCallPeriod;
+    auto configFeed = configFeedConfig(m_dialect.configKey);
+    if (m_missing == RestoreSafeguard::SettleTime) {
+        configFeed.settleTime = 0ms;
+    }
     m_gateway.reset(new Gateway{BackendTable("z"),
                                 nullptr,
-                                {StoreFeed(m_dialect, serverFeed), std::nullopt},
+                                {StoreFeed(m_dialect, serverFeedConfig(m_dialect.serverPrefix)), std::nullopt},
                                 {StoreFeed(m_dialect, configFeed), std::nullopt},
                                 0,
                                 m_now,
                                 {},
                                 {}});
     m_gateway->registry = std::make_unique<BackendRegistry>(m_dialect, m_gateway->table);
-    m_gateway->servers.feed.setRereadSpread(rereadSpread);
-    m_gateway->config.feed.setRereadSpread(rereadSpread);
+    m_gateway->servers.feed.setRereadSpread(rereadSpread(1));
+    m_gateway->config.feed.setRereadSpread(rereadSpread(1));
+}
+
+void RestoreSimulation::dropHistory()
+{
+    m_store.dropHistory();
 }
 
 void RestoreSimulation::saveCopy()
@@ -196,7 +176,7 @@
     ++restores;
     m_store.restore(m_copy);
     m_awayUntil.reset();
-    m_soundSince = m_now;
+    m_backAt = m_now;
     const auto writeAt = [this] {
         return randomInt(0, 1) == 0 ? m_now : m_now + std::chrono::milliseconds(randomInt(0, rewriteTime.count()));
     };
@@ -248,7 +228,7 @@
     m_store.put(m_dialect.configKey, text);
     if (!m_config.acknowledgedAt) {
         m_config.acknowledgedAt = m_now;
-        m_removals.emplace_back(m_config.version, m_now);
+        m_removals.push_back({m_config.version, m_now});
     }
 }
 
@@ -269,14 +249,14 @@
         const bool isCut = m_awayUntil && !m_isSilent;
         if (reader.call->reply && m_now >= reader.call->arrivesAt && !isCut) {
             receive(reader, *std::exchange(reader.call->reply, std::nullopt));
-        } else if (m_now >= reader.call->timeoutAt || (m_awayUntil && !m_isSilent)) {
+        } else if (m_now >= reader.call->timeoutAt || isCut) {
             reader.call.reset();
             reader.feed.onFailure(m_now, "no answer", m_random);
         }
     }
     if (!reader.call) {
         if (const auto call = reader.feed.takeCall(m_now, bootNow())) {
-            const auto wait = isWatch(call->target) ? std::stoi(fieldOf(call->target, "wait_ms")) : 0;
+            const auto wait = fakes::queryNumber(queryOf(call->target), "wait_ms").value_or(0);
             reader.call = Call{call->target, m_now + call->timeout, m_now + std::chrono::milliseconds(wait), {}, {}};
         }
     }
@@ -287,12 +267,13 @@
     if (m_awayUntil) {
         return std::nullopt;
     }
-    const auto prefix = prefixOf(call.target);
+    const auto query = queryOf(call.target);
+    const std::string prefix(*fakes::queryText(query, "prefix"));
     if (!isWatch(call.target)) {
         // Small pages, so that reads of several pages meet restores.
-        return m_store.range(prefix, fieldOf(call.target, "after"), 2);
+        return m_store.range(prefix, std::string(fakes::queryText(query, "after").value_or("")), 2);
     }
-    return m_store.watch(prefix, std::stoull(fieldOf(call.target, "after")), m_now >= call.waitUntil);
+    return m_store.watch(prefix, *fakes::queryNumber(query, "after"), m_now >= call.waitUntil);
 }
 
 void RestoreSimulation::receive(Reader &reader, const HttpReply &reply)
@@ -311,7 +292,7 @@
     }
     // A gateway without an earlier answer, and without a sign that the store was away, takes a copy for the current state;
     // docs/platform.md names this.
-    if (isFirst && restores > 0 && m_now <= m_soundSince + rewriteTime + maxTransit) {
+    if (isFirst && restores > 0 && m_now <= m_backAt + rewriteTime + maxTransit) {
         m_gateway->copyTrustedAt = m_now;
     }
     if (const auto config = newerConfig(m_dialect, *change, m_gateway->version)) {
@@ -352,8 +333,8 @@
 
 bool RestoreSimulation::isFresh() const
 {
-    const auto confirmed = m_gateway->config.feed.confirmedAt();
-    return m_gateway->version != 0 && confirmed && bootNow() - *confirmed < revokeTime - freshnessMargin;
+    return m_gateway->version != 0
+           && configFreshness(m_gateway->config.feed.confirmedAt(), bootNow(), revokeTime) == ConfigFreshness::Recent;
 }
 
 void RestoreSimulation::checkServers()
@@ -368,7 +349,7 @@
         if (!server.storedAt || m_awayUntil) {
             continue;
         }
-        const auto since = std::max(*server.storedAt, std::max(m_soundSince, m_gateway->startedAt) + contactTime);
+        const auto since = std::max(*server.storedAt, std::max(m_backAt, m_gateway->startedAt) + contactTime);
         if (used && server.state != ServerState::Ready && m_now - since > drainTime) {
             m_violation = id + " is used, although the store has long held that it leaves or is gone";
         }
--- a/tests/restore_simulation.h
+++ b/tests/restore_simulation.h
@@ -36,7 +36,7 @@
     static constexpr std::chrono::milliseconds rewriteTime{2'000};
     /** Servers keep serving for this long after the store has accepted that they leave. */
     static constexpr std::chrono::milliseconds drainTime{2'000};
-    /** A gateway that has had a sound store for this long is in contact. */
+    /** A gateway is in contact once it and the store have run for this long. */
     static constexpr std::chrono::milliseconds contactTime{3'000};
     static constexpr std::chrono::milliseconds revokeTime{5'000};
     /** A server that is gone in one era and announced in the next is held for 5 s; the rest is for the reads. */
@@ -56,6 +56,8 @@
     /** The operator writes the next version, which takes a key away. */
     void changeConfig();
     void restartGateway();
+    /** Has watches from earlier revisions fail. */
+    void dropHistory();
     void saveCopy();
     /** The store is away for @p time, and comes back from the copy. Calls hang meanwhile, or fail. */
     void restore(std::chrono::milliseconds time, bool isSilent, bool keepsWatches);
@@ -91,6 +93,13 @@
         TimePoint writeAt{};
     };
 
+    /** A version that took a key away. */
+    struct KeyRemoval
+    {
+        std::uint64_t version = 0;
+        TimePoint acknowledgedAt{};
+    };
+
     struct Call
     {
         std::string target;
@@ -116,8 +125,7 @@
         std::uint64_t version = 0; ///< Of the configuration that it applied.
         TimePoint startedAt{};
         TimePoint copyTrustedAt{}; ///< It cannot know of changes before this time that the copy lacks.
-        std::set<std::pair<std::string, std::int64_t>>
-            left; ///< Runs that it knew to leave, or to be gone when they were.
+        std::set<std::pair<std::string, std::int64_t>> left; ///< Runs (id, start) that it knew to leave.
     };
 
     static std::string keyOf(std::size_t i);
@@ -152,11 +160,10 @@
     std::optional<TimePoint> m_awayUntil;
     bool m_isSilent = false;
     bool m_keepsWatches = false;
-    TimePoint m_soundSince{}; ///< End of the last time that the store was away.
+    TimePoint m_backAt{}; ///< End of the last time that the store was away.
     std::array<Server, serverCount> m_servers;
     Config m_config;
-    std::vector<std::pair<std::uint64_t, TimePoint>>
-        m_removals; ///< Versions that took a key away, and their acknowledgements.
+    std::vector<KeyRemoval> m_removals;
     std::unique_ptr<Gateway> m_gateway;
     std::string m_violation;
 };
