Accept fractions and exponents in settings, and times with a unit

The platform states its bounds as whole numbers or fractions.

Numbers are parsed as decimals; counts must still be whole.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -39,8 +39,7 @@
 {
     return {settings.retryWindow,
             static_cast<double>(settings.retryPercent) / 100,
-            retryAllowance(
-                static_cast<double>(settings.retryAllowance), static_cast<double>(settings.retrySlack), gateways)};
+            retryAllowance(static_cast<double>(settings.retryAllowance), settings.retrySlack, gateways)};
 }
 
 /** Names the server of each failed attempt, so that attempts of all copies of a request can be counted from the logs. */
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -23,7 +23,7 @@
     std::chrono::milliseconds retryWindow{};
     std::uint64_t retryPercent = 0;
     std::uint64_t retryAllowance = 0;
-    std::uint64_t retrySlack = 0;
+    double retrySlack = 0;
     std::uint64_t maxConnections = 0;
     std::uint64_t agentPort = 0;
 };
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -6,6 +6,8 @@
 #include <boost/program_options.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <set>
 
@@ -183,6 +185,54 @@
     }
 }
 
+namespace detail {
+
+std::optional<double> parseDecimal(std::string_view text, std::uint64_t min, std::uint64_t max)
+{
+    double n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    const bool isNumber = ec == std::errc() && end == text.data() + text.size() && std::isfinite(n);
+    if (!isNumber || n < static_cast<double>(min) || n > static_cast<double>(max)) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+std::optional<std::uint64_t> parseWhole(std::string_view text, std::uint64_t min, std::uint64_t max)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec == std::errc() && end == text.data() + text.size()) {
+        return n < min || n > max ? std::nullopt : std::optional(n);
+    }
+    // Other notations of a whole number, such as 8.0 or 2e3. A double holds whole numbers up to 2^53 exactly.
+    constexpr std::uint64_t largestExact = std::uint64_t{1} << 53U;
+    const auto decimal = parseDecimal(text, min, std::min(max, largestExact));
+    if (!decimal || std::trunc(*decimal) != *decimal) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint64_t>(*decimal);
+}
+
+std::optional<std::chrono::milliseconds> parseTime(std::string_view text, std::uint64_t minMs, std::uint64_t maxMs)
+{
+    constexpr double msPerSecond = 1'000;
+    double unit = 1;
+    if (text.ends_with("ms")) {
+        text.remove_suffix(2);
+    } else if (text.ends_with('s')) {
+        text.remove_suffix(1);
+        unit = msPerSecond;
+    }
+    const auto n = parseDecimal(text, 0, maxMs);
+    if (!n || *n * unit < static_cast<double>(minMs) || *n * unit > static_cast<double>(maxMs)) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(static_cast<std::int64_t>(*n * unit));
+}
+
+} // namespace detail
+
 std::string checkAddress(const std::string &value)
 {
     return parseAddress(value) ? "" : "IP:PORT";
--- a/src/settings.h
+++ b/src/settings.h
@@ -3,7 +3,6 @@
 #include "settings_type.h"
 
 #include <array>
-#include <charconv>
 #include <functional>
 #include <map>
 #include <optional>
@@ -51,17 +50,12 @@
 
 namespace detail {
 
-template<typename Number>
-std::optional<Number> parseNumber(const std::string &text, std::uint64_t min, std::uint64_t max)
-{
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    const auto limit = std::min<std::uint64_t>(max, std::numeric_limits<Number>::max());
-    if (ec != std::errc() || end != text.data() + text.size() || n < min || n > limit) {
-        return std::nullopt;
-    }
-    return static_cast<Number>(n);
-}
+/** Parses a decimal number, which may have a fraction and an exponent. Returns nothing if it is not within the limits. */
+std::optional<double> parseDecimal(std::string_view text, std::uint64_t min, std::uint64_t max);
+/** As parseDecimal(), for a number without a fraction. */
+std::optional<std::uint64_t> parseWhole(std::string_view text, std::uint64_t min, std::uint64_t max);
+/** Parses a time in milliseconds, or in the unit that follows the number: ms or s. Fractions of 1 ms are dropped. */
+std::optional<std::chrono::milliseconds> parseTime(std::string_view text, std::uint64_t minMs, std::uint64_t maxMs);
 
 template<typename S>
 class SettingParser
@@ -99,23 +93,33 @@
 
     void operator()(std::uint16_t S::*member)
     {
-        number<std::uint16_t>([&](std::uint16_t n) {
-            m_parse.settings.*member = n;
-        });
+        const auto max = std::min<std::uint64_t>(m_row.max, std::numeric_limits<std::uint16_t>::max());
+        if (const auto n = required(parseWhole(m_values.front(), m_row.min, max), "a whole number", max)) {
+            m_parse.settings.*member = static_cast<std::uint16_t>(*n);
+        }
     }
 
     void operator()(std::uint64_t S::*member)
     {
-        number<std::uint64_t>([&](std::uint64_t n) {
-            m_parse.settings.*member = n;
-        });
+        if (const auto n = required(parseWhole(m_values.front(), m_row.min, m_row.max), "a whole number", m_row.max)) {
+            m_parse.settings.*member = *n;
+        }
+    }
+
+    void operator()(double S::*member)
+    {
+        if (const auto n = required(parseDecimal(m_values.front(), m_row.min, m_row.max), "a number", m_row.max)) {
+            m_parse.settings.*member = *n;
+        }
     }
 
     void operator()(std::chrono::milliseconds S::*member)
     {
-        number<std::uint32_t>([&](std::uint32_t n) {
-            m_parse.settings.*member = std::chrono::milliseconds(n);
-        });
+        const auto max = std::min<std::uint64_t>(m_row.max, std::numeric_limits<std::uint32_t>::max());
+        if (const auto time
+            = required(parseTime(m_values.front(), m_row.min, max), "a time in ms, or with the unit s or ms,", max)) {
+            m_parse.settings.*member = *time;
+        }
     }
 
 private:
@@ -134,15 +138,14 @@
         }
     }
 
-    template<typename Number, typename Store>
-    void number(Store store)
+    /** Returns @p value, and records a fault if there is none. */
+    template<typename T>
+    std::optional<T> required(std::optional<T> value, const std::string &kind, std::uint64_t max)
     {
-        const auto max = std::min<std::uint64_t>(m_row.max, std::numeric_limits<Number>::max());
-        if (const auto n = parseNumber<Number>(m_values.front(), m_row.min, max)) {
-            store(*n);
-        } else {
-            fault(m_values.front(), "a whole number from " + std::to_string(m_row.min) + " to " + std::to_string(max));
+        if (!value) {
+            fault(m_values.front(), kind + " from " + std::to_string(m_row.min) + " to " + std::to_string(max));
         }
+        return value;
     }
 
     SettingsParseResult<S> &m_parse;
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -16,6 +16,7 @@
                                    bool S::*,
                                    std::uint16_t S::*,
                                    std::uint64_t S::*,
+                                   double S::*,
                                    std::chrono::milliseconds S::*,
                                    std::vector<std::string> S::*>;
 
