Send orders and reports of a large group through blocks, and loads through the agents near a gateway

Cause: on the large site, the instance of rank 0 has a link of 6 Mbit/s. 149 gateways asked it for 129 loads ten times a second (3 MB/s, worked out), it collected 12 reports of 4,128 counts ten times a second (about 1 MB/s), and each new map went to each of 129 ranks from there. So it lost the store again and again, and no map was ever changed.

A map on its way is not sent a second time. The coordinator's queries carry the loads of all ranks, with their age, and gateways ask a random agent of their failure domain. The balancer proposes only after new counts, and may take more steps in large groups.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace turmericline {
 
@@ -16,7 +17,7 @@
 /** Half-life of a reported load: a stream lasts about a second. */
 constexpr std::chrono::duration<double> loadHalfLife{1.0};
 /** Age up to which a report of the group's loads is treated as current. */
-constexpr std::chrono::milliseconds freshLoadTime{400};
+constexpr std::chrono::milliseconds freshLoadTime{800};
 /** Requests that a rank receives from all gateways while a load report is in transit: 5 a second for 0.1 s. */
 constexpr double arrivalsPerServer = 0.5;
 /** Limit of waiting requests per rank; another one would miss the usual objective of 0.5 s for the first event. */
@@ -234,15 +235,35 @@
     }
 }
 
-std::vector<BackendRecord> BackendTable::serversWithRank(std::uint32_t rank) const
+std::vector<std::string> BackendTable::groups() const
 {
-    std::vector<BackendRecord> leaders;
+    std::set<std::string> names;
     for (const auto &[id, it] : m_backends) {
-        if (!it->record.group.empty() && it->record.rank == rank) {
-            leaders.push_back(it->record);
+        if (!it->record.group.empty()) {
+            names.insert(it->record.group);
         }
     }
-    return leaders;
+    return {names.begin(), names.end()};
+}
+
+const BackendRecord *BackendTable::chooseNearRank(std::string_view group, std::mt19937_64 &random) const
+{
+    std::vector<const BackendRecord *> near;
+    std::vector<const BackendRecord *> all;
+    for (const auto &[id, it] : m_backends) {
+        if (it->record.group != group) {
+            continue;
+        }
+        all.push_back(&it->record);
+        if (it->record.domain == m_domain) {
+            near.push_back(&it->record);
+        }
+    }
+    const auto &candidates = near.empty() ? all : near;
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)];
 }
 
 void BackendTable::onGroupLoadsQueried(std::string_view group)
@@ -254,18 +275,19 @@
     }
 }
 
-void BackendTable::onGroupLoads(TimePoint now,
+void BackendTable::onGroupLoads(TimePoint readAt,
                                 std::string_view group,
                                 std::span<const std::optional<BackendLoad>> loads)
 {
     for (const auto &[id, it] : m_backends) {
-        if (it->record.group != group || it->record.rank >= loads.size() || !loads[it->record.rank]) {
+        const bool isReported = it->record.group == group && it->record.rank < loads.size() && loads[it->record.rank];
+        if (!isReported || readAt < it->groupLoadAt) {
             continue;
         }
         const auto &load = *loads[it->record.rank];
         it->othersInFlight = std::max(0.0, static_cast<double>(load.running + load.waiting) - it->inFlightAtQuery);
-        it->loadAt = now;
-        it->groupLoadAt = now;
+        it->loadAt = readAt;
+        it->groupLoadAt = readAt;
         it->pace = load.pace;
     }
 }
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -128,12 +128,14 @@
     void onFault(TimePoint now, std::string_view id, BackendFault fault);
     void onLoad(TimePoint now, std::string_view id, BackendLoad load);
 
-    /** Returns the servers that have rank @p rank in their group. */
-    std::vector<BackendRecord> serversWithRank(std::uint32_t rank) const;
+    /** Names of all groups of ranks. */
+    std::vector<std::string> groups() const;
+    /** Chooses a random rank of a group, in the own failure domain if there is one; nothing if there is no rank. */
+    const BackendRecord *chooseNearRank(std::string_view group, std::mt19937_64 &random) const;
     /** Called when the loads of a group are queried. The reply does not include requests sent after that. */
     void onGroupLoadsQueried(std::string_view group);
-    /** Applies reported @p loads, by rank; ranks without a report are empty. */
-    void onGroupLoads(TimePoint now, std::string_view group, std::span<const std::optional<BackendLoad>> loads);
+    /** Applies @p loads that were current at @p readAt, by rank; ranks without a report are empty. Ignores older ones. */
+    void onGroupLoads(TimePoint readAt, std::string_view group, std::span<const std::optional<BackendLoad>> loads);
 
 private:
     /** Estimated number of requests of all gateways at @p backend. */
--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <csignal>
 
 namespace turmericline {
@@ -26,11 +27,12 @@
 constexpr std::chrono::milliseconds peerTimeout{250};
 /** For calls to another agent about a block of ranks, for which it calls the agents of the other ranks itself. */
 constexpr std::chrono::milliseconds blockTimeout{300};
+/** Messages are sent to all agents of a block at once, and again by the first of them to the others. */
+constexpr std::size_t copiesInTransit = 2U;
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
 constexpr int statusBadRequest = 400;
-constexpr int statusBaseUnknown = 428;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 const std::string ranksTarget = "/ranks";
@@ -45,26 +47,25 @@
     return config;
 }
 
-ExpertBalancerConfig balancerConfig(const ExpertAgentSettings &settings)
+GroupCoordinatorConfig coordinatorConfig(const ExpertAgentSettings &settings)
 {
-    ExpertBalancerConfig config;
+    GroupCoordinatorConfig group;
+    auto &config = group.balancer;
     config.demand.halfLife = settings.demandHalfLife;
     config.demand.shiftDistance = static_cast<double>(settings.demandShiftPercent) / 100;
     config.copiesPerSwitch = settings.copiesPerSwitch;
     config.goalSkew = static_cast<double>(settings.goalSkewPercent) / 100;
     config.smallestGain = static_cast<double>(settings.smallestGainPercent) / 100;
-    return config;
+    group.link = LinkBudget(settings.linkMbps);
+    return group;
 }
 
-/** Returns nothing if the rank may still execute the order. */
+/** Answer of the rank; nothing if it may still execute the order. */
 std::optional<OrderAnswer> orderAnswer(const std::optional<HttpReply> &reply)
 {
     if (!reply || reply->status == statusTimeout || reply->status == statusUnavailable) {
         return std::nullopt;
     }
-    if (reply->status == statusBaseUnknown) {
-        return OrderAnswer::BaseUnknown;
-    }
     const bool isAccepted = reply->status == statusOk || reply->status == statusAccepted;
     return isAccepted ? OrderAnswer::Accepted : OrderAnswer::Refused;
 }
@@ -84,7 +85,7 @@
     , m_settings(settings)
     , m_dialect(std::move(dialect))
     , m_rankDialect(std::move(ranks))
-    , m_balancerConfig(balancerConfig(settings))
+    , m_coordinatorConfig(coordinatorConfig(settings))
     , m_ip(ipOf(settings.peer))
     , m_peerPort(parseEndpoint(settings.peer)->port())
     , m_random(std::random_device()())
@@ -165,8 +166,8 @@
         m_configReader.setAddress(next.store);
         m_serverReader.setAddress(next.store);
     }
-    if (const auto config = balancerConfig(next); config != m_balancerConfig) {
-        m_balancerConfig = config;
+    if (const auto config = coordinatorConfig(next); config != m_coordinatorConfig) {
+        m_coordinatorConfig = config;
         // The new coordinator resumes a switch in progress.
         m_coordinator.reset();
     }
@@ -235,30 +236,48 @@
 
 void ExpertAgent::onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    if (request.method == "GET" && request.path == ranksTarget) {
-        const auto query = decodeRankQuery(request.query);
-        if (!query) {
-            logEvent(LogLevel::Warning, "rejected a query of another agent", {{"reason", query.reason}});
-            responder->reply(statusBadRequest, {}, query.reason + "\n");
-            return;
-        }
-        replyReport(*query.value, responder);
-    } else if (request.method == "GET" && request.path == loadsTarget) {
-        if (m_coordinator) {
-            responder->reply(statusOk, {{"Content-Type", messagePackType}}, encodeGroupLoads(m_coordinator->loads()));
-        } else {
-            responder->reply(statusUnavailable, {}, "no group is coordinated here\n");
-        }
-    } else if (request.method == "POST" && request.path == orderTarget) {
-        const auto order = decodeRankOrder(request.body);
-        if (!order) {
-            logEvent(LogLevel::Warning, "rejected an order of another agent", {{"reason", order.reason}});
-            responder->reply(statusBadRequest, {}, order.reason + "\n");
+    const bool isGet = request.method == "GET";
+    const bool isPost = request.method == "POST";
+    if ((isGet || isPost) && request.path == ranksTarget) {
+        onQuery(request, responder);
+    } else if (isGet && request.path == loadsTarget) {
+        replyLoads(responder);
+    } else if (isPost && request.path == orderTarget) {
+        onOrder(request, responder);
+    } else {
+        responder->reply(404, {}, "not found\n");
+    }
+}
+
+void ExpertAgent::onQuery(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    auto query = decodeRankQuery(request.query);
+    if (!query) {
+        logEvent(LogLevel::Warning, "rejected a query of another agent", {{"reason", query.reason}});
+        responder->reply(statusBadRequest, {}, query.reason + "\n");
+        return;
+    }
+    if (!request.body.empty()) {
+        auto loads = decodeGroupLoads(request.body);
+        if (!loads) {
+            logEvent(LogLevel::Warning, "rejected the loads of a group", {{"reason", loads.reason}});
+            responder->reply(statusBadRequest, {}, loads.reason + "\n");
             return;
         }
-        forwardOrder(*order.value, responder);
+        m_loads.store(std::chrono::steady_clock::now(), *loads.value);
+        query.value->loads = std::move(loads.value);
+    }
+    replyReport(*query.value, responder);
+}
+
+/** The coordinator knows the loads best; the other agents have them from its queries. */
+void ExpertAgent::replyLoads(const std::shared_ptr<HttpResponder> &responder)
+{
+    const auto loads = m_coordinator ? m_coordinator->loads() : m_loads.get(std::chrono::steady_clock::now());
+    if (loads) {
+        responder->reply(statusOk, {{"Content-Type", messagePackType}}, encodeGroupLoads(*loads));
     } else {
-        responder->reply(404, {}, "not found\n");
+        responder->reply(statusUnavailable, {}, "no recent loads of a group\n");
     }
 }
 
@@ -307,22 +326,45 @@
     }
 }
 
+/** Time to transfer messages of @p bytes to all agents of a block, or from them. */
+std::chrono::milliseconds ExpertAgent::transferTime(std::size_t bytes) const
+{
+    const auto size = m_ownState ? m_ownState->size : 1;
+    const auto width = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(size))));
+    return m_coordinatorConfig.link.transferTime(bytes * width * copiesInTransit);
+}
+
+/** Size of the counts in a report. */
+std::size_t ExpertAgent::choiceBytes() const
+{
+    const auto *service = ownService();
+    return service != nullptr && service->experts ? std::size_t{service->experts->layers} * service->experts->experts
+                                                  : 0;
+}
+
 void ExpertAgent::queryAgent(const RankQuery &query, std::chrono::milliseconds timeout, ReportHandler handler)
 {
-    m_caller.get(
-        std::chrono::steady_clock::now(),
-        agentOf(query.first),
-        ranksTarget + "?" + encodeRankQuery(query),
-        timeout,
-        [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
-            if (!reply) {
-                handler(Result<GroupReport>::fail(reason));
-            } else if (reply->status != statusOk) {
-                handler(Result<GroupReport>::fail("an agent answered with status " + std::to_string(reply->status)));
-            } else {
-                handler(decodeGroupReport(reply->body));
-            }
-        });
+    const auto now = std::chrono::steady_clock::now();
+    const auto address = agentOf(query.first);
+    const auto target = ranksTarget + "?" + encodeRankQuery(query);
+    auto onReply = [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
+        if (!reply) {
+            handler(Result<GroupReport>::fail(reason));
+        } else if (reply->status != statusOk) {
+            handler(Result<GroupReport>::fail("an agent answered with status " + std::to_string(reply->status)));
+        } else {
+            handler(decodeGroupReport(reply->body));
+        }
+    };
+    if (query.withChoices) {
+        timeout += transferTime(choiceBytes());
+    }
+    if (query.loads) {
+        m_caller.post(
+            now, address, target, messagePackType, encodeGroupLoads(*query.loads), timeout, std::move(onReply));
+    } else {
+        m_caller.get(now, address, target, timeout, std::move(onReply));
+    }
 }
 
 template<typename T>
@@ -403,16 +445,78 @@
         });
 }
 
-void ExpertAgent::forwardOrder(RankOrder order, const std::shared_ptr<HttpResponder> &responder)
+void ExpertAgent::onOrder(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    auto order = decodeRankOrder(request.body);
+    auto ranks = decodeOrderRanks(request.query);
+    if (!order || !ranks) {
+        const auto &reason = order ? ranks.reason : order.reason;
+        logEvent(LogLevel::Warning, "rejected an order of another agent", {{"reason", reason}});
+        responder->reply(statusBadRequest, {}, reason + "\n");
+        return;
+    }
+    collectAnswers({std::move(*ranks.value), std::move(*order.value)}, [responder](const OrderAnswers &answers) {
+        responder->reply(statusOk, {{"Content-Type", messagePackType}}, encodeOrderAnswers(answers));
+    });
+}
+
+/** Passes the order on to the other ranks first, then to the own rank, which is the first one. */
+void ExpertAgent::collectAnswers(const GroupOrder &order, GroupLink::OrderHandler handler)
+{
+    struct Collection
+    {
+        OrderAnswers answers;
+        std::size_t pending = 0;
+        GroupLink::OrderHandler handler;
+    };
+    auto collection = std::make_shared<Collection>();
+    collection->answers.resize(order.ranks.size());
+    collection->pending = order.ranks.size();
+    collection->handler = std::move(handler);
+    const auto add = [collection](std::size_t n, std::optional<OrderAnswer> answer) {
+        collection->answers[n] = answer;
+        if (--collection->pending == 0) {
+            collection->handler(std::move(collection->answers));
+        }
+    };
+    for (std::size_t n = 1; n < order.ranks.size(); ++n) {
+        sendOrder({{order.ranks[n]}, order.order}, [add, n](const OrderAnswers &answers) {
+            add(n, answers.empty() ? std::nullopt : answers.front());
+        });
+    }
+    executeOrder(order.order, [add](std::optional<OrderAnswer> answer) {
+        add(0, answer);
+    });
+}
+
+void ExpertAgent::sendOrder(const GroupOrder &order, GroupLink::OrderHandler handler)
+{
+    const auto body = encodeRankOrder(order.order);
+    const auto timeout = (order.ranks.size() > 1 ? blockTimeout : peerTimeout) + transferTime(body.size());
+    m_caller.post(std::chrono::steady_clock::now(),
+                  agentOf(order.ranks.front()),
+                  orderTarget + "?" + encodeOrderRanks(order.ranks),
+                  messagePackType,
+                  body,
+                  timeout,
+                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
+                      const bool isAnswered = reply && reply->status == statusOk;
+                      // Without answers, the order counts as one that may still be executed.
+                      handler(isAnswered ? decodeOrderAnswers(reply->body).value.value_or(OrderAnswers{})
+                                         : OrderAnswers{});
+                  });
+}
+
+void ExpertAgent::executeOrder(RankOrder order, std::function<void(std::optional<OrderAnswer>)> handler)
 {
     if (!m_ownServer) {
-        responder->reply(statusUnavailable, {}, "no backend server is known on this machine\n");
+        handler(std::nullopt);
         return;
     }
     if (order.kind == RankOrderKind::Prepare) {
         auto map = m_maps.resolveMap(order);
         if (!map) {
-            responder->reply(statusBaseUnknown, {}, "the map that changes is not known\n");
+            handler(OrderAnswer::BaseUnknown);
             return;
         }
         order.map = std::move(*map);
@@ -423,12 +527,8 @@
                   "application/json",
                   m_rankDialect.orderBody(order),
                   rankTimeout,
-                  [responder](const std::optional<HttpReply> &reply, const std::string &reason) {
-                      if (reply) {
-                          responder->reply(reply->status, {}, reply->body);
-                      } else {
-                          responder->reply(statusTimeout, {}, reason + "\n");
-                      }
+                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
+                      handler(orderAnswer(reply));
                   });
 }
 
@@ -442,16 +542,8 @@
                        handler(std::move(report.value));
                    });
     };
-    link.sendOrder = [this](std::uint32_t rank, const RankOrder &order, GroupLink::OrderHandler handler) {
-        m_caller.post(std::chrono::steady_clock::now(),
-                      agentOf(rank),
-                      orderTarget,
-                      messagePackType,
-                      encodeRankOrder(order),
-                      peerTimeout,
-                      [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                          handler(orderAnswer(reply));
-                      });
+    link.sendOrder = [this](const GroupOrder &order, GroupLink::OrderHandler handler) {
+        sendOrder(order, std::move(handler));
     };
     return link;
 }
@@ -475,10 +567,15 @@
     }
 }
 
+const RoutingService *ExpertAgent::ownService() const
+{
+    return m_ownServer && m_table ? m_table->findService(m_ownServer->service) : nullptr;
+}
+
 void ExpertAgent::coordinate(TimePoint now)
 {
     refreshOwnState(now);
-    const auto *service = !m_ownServer || !m_table ? nullptr : m_table->findService(m_ownServer->service);
+    const auto *service = ownService();
     updateInitialMap(service);
     const bool isCoordinator
         = service != nullptr && service->experts && m_ownState && m_ownState->rank == coordinatorRank;
@@ -489,7 +586,7 @@
         }
     } else if (!m_coordinator || m_coordinator->ranks() != m_ownState->size) {
         m_coordinator = std::make_unique<GroupCoordinator>(
-            m_balancerConfig, *service->experts, m_ownState->size, makeGroupLink(), m_random);
+            m_coordinatorConfig, *service->experts, m_ownState->size, makeGroupLink(), m_random);
     }
     if (m_coordinator) {
         m_coordinator->tick(now);
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -43,6 +43,7 @@
     void tick();
     void onConfig(const StoreChange &change);
     void onPeerRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void onQuery(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void replyReport(const RankQuery &query, const std::shared_ptr<HttpResponder> &responder);
     void collectReport(const RankQuery &query, ReportHandler handler);
     void queryAgent(const RankQuery &query, std::chrono::milliseconds timeout, ReportHandler handler);
@@ -53,10 +54,17 @@
     void readReport(const RankQuery &query, ReportHandler handler);
     void readChoices(GroupReport report, const RankQuery &query, ReportHandler handler);
     void readHeld(GroupReport report, const RankQuery &query, ReportHandler handler);
-    void forwardOrder(RankOrder order, const std::shared_ptr<HttpResponder> &responder);
+    void onOrder(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void replyLoads(const std::shared_ptr<HttpResponder> &responder);
+    void collectAnswers(const GroupOrder &order, GroupLink::OrderHandler handler);
+    void sendOrder(const GroupOrder &order, GroupLink::OrderHandler handler);
+    void executeOrder(RankOrder order, std::function<void(std::optional<OrderAnswer>)> handler);
+    std::chrono::milliseconds transferTime(std::size_t bytes) const;
+    std::size_t choiceBytes() const;
     void updateGroup();
     std::string agentOf(std::uint32_t rank) const;
     void updateInitialMap(const RoutingService *service);
+    const RoutingService *ownService() const;
     void coordinate(TimePoint now);
     GroupLink makeGroupLink();
     void refreshOwnState(TimePoint now);
@@ -65,7 +73,7 @@
     ExpertAgentSettings m_settings;
     GatewayDialect m_dialect;
     RankDialect m_rankDialect;
-    ExpertBalancerConfig m_balancerConfig;
+    GroupCoordinatorConfig m_coordinatorConfig;
     std::string m_ip;
     std::uint16_t m_peerPort;
     std::mt19937_64 m_random;
@@ -82,6 +90,7 @@
     std::optional<RankState> m_ownState;
     ChoiceCounter m_choiceCounter; ///< Of the server on this machine.
     MapCache m_maps;
+    GroupLoadCache m_loads; ///< Of the group, as sent by the coordinator.
     TimePoint m_nextOwnStateAt{};
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
--- a/src/expert_agent_settings.h
+++ b/src/expert_agent_settings.h
@@ -18,9 +18,10 @@
     std::uint64_t copiesPerSwitch = 0;
     std::uint64_t goalSkewPercent = 0;
     std::uint64_t smallestGainPercent = 0;
+    double linkMbps = 0;
 };
 
-inline constexpr std::array<SettingRow<ExpertAgentSettings>, 11> expertAgentSettingRows{{
+inline constexpr std::array<SettingRow<ExpertAgentSettings>, 12> expertAgentSettingRows{{
     {"name", &ExpertAgentSettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &ExpertAgentSettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"peer",
@@ -69,6 +70,13 @@
      false,
      0,
      100},
+    {"link-mbps",
+     &ExpertAgentSettings::linkMbps,
+     "0",
+     "bandwidth of the instance in Mbit/s, of which periodic messages use a share; 0 if it is not limited",
+     false,
+     0,
+     1'000'000},
 }};
 
 } // namespace turmericline
--- a/src/expert_balancer.cpp
+++ b/src/expert_balancer.cpp
@@ -16,8 +16,10 @@
 constexpr std::size_t layersPerCopy = 4;
 /** Slowdowns up to this are treated as noise. */
 constexpr double slowPace = 1.2;
-/** Bounds the time of one decision; each step moves load off one rank. */
-constexpr int maxSteps = 400;
+/** Bounds the time of one decision; each step moves load off one rank of a layer. */
+constexpr std::size_t minSteps = 400;
+/** Limit of the steps in large groups: one for every so many ranks of each layer. */
+constexpr std::size_t ranksPerStep = 2;
 /** The search in a layer ends after this many steps without a lower skew. */
 constexpr int maxStepsWithoutGain = 6;
 
@@ -121,7 +123,8 @@
         return found;
     };
     // The layers of a pass run one after another, so their times add up: improve the layer with the largest skew first.
-    for (int step = 0; step < maxSteps; ++step) {
+    const auto maxSteps = std::max(minSteps, m_shape.ranks * m_layout.layers / ranksPerStep);
+    for (std::size_t step = 0; step < maxSteps; ++step) {
         auto *search = worst();
         if (search == nullptr || search->skew() <= m_config.goalSkew) {
             return;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -71,7 +71,7 @@
     , m_backends(settings.domain)
     , m_suspects(io, {settings.suspectHold, settings.peer, settings.seeds}, m_backends, m_random)
     , m_registry(m_dialect, m_backends)
-    , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort))
+    , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort), m_random)
     , m_pool(io)
     , m_retryConfig(retryConfig(settings, 1))
     , m_configReader(
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -11,13 +11,22 @@
 
 namespace {
 
-/** Interval of queries for counts: about one pass. */
-constexpr std::chrono::milliseconds choicesPeriod{100};
-/** Interval of queries for states during a switch. */
-constexpr std::chrono::milliseconds switchQueryPeriod{20};
+/** Shortest interval of queries for counts: about one pass. */
+constexpr std::chrono::milliseconds minChoicesPeriod{100};
+/** Interval of queries for states and of the loads in them. */
+constexpr std::chrono::milliseconds queryPeriod{100};
+/** Shortest interval of queries for states during a switch. */
+constexpr std::chrono::milliseconds minSwitchQueryPeriod{20};
+/** Shares of the link for the answers to queries for counts, and for those for states during a switch. */
+constexpr double choicesShare = 0.35;
+constexpr double statesShare = 0.25;
+/** Bytes of a report: heads of a request and its answer, each rank, each count. */
+constexpr std::size_t bytesPerReport = 400;
+constexpr std::size_t bytesPerRank = 8;
+constexpr std::size_t bytesPerCount = 1;
 constexpr std::chrono::milliseconds proposalPeriod{20};
-/** How long the ranks of a block are queried one by one after a missing or incomplete answer. */
-constexpr std::chrono::milliseconds singleQueryTime{1'000};
+/** How long the ranks of a block are called one by one after a missing or incomplete answer. */
+constexpr std::chrono::milliseconds singleCallTime{1'000};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
 /** Loads older than this are not reported to gateways. */
@@ -28,7 +37,7 @@
 
 } // namespace
 
-GroupCoordinator::GroupCoordinator(const ExpertBalancerConfig &config,
+GroupCoordinator::GroupCoordinator(const GroupCoordinatorConfig &config,
                                    const ExpertLayout &layout,
                                    std::size_t ranks,
                                    GroupLink link,
@@ -36,7 +45,7 @@
     : m_layout(layout)
     , m_link(std::move(link))
     , m_random(random)
-    , m_balancer(config, layout, ranks)
+    , m_balancer(config.balancer, layout, ranks)
     , m_lastReports(ranks)
 {
     const auto width = std::min<std::uint32_t>(
@@ -47,13 +56,17 @@
     for (std::uint32_t n = 0; n < ranks; ++n) {
         m_singleRanks.push_back({n});
     }
+    const auto stateBytes = m_blocks.size() * (bytesPerReport + width * bytesPerRank);
+    const auto countBytes = m_blocks.size() * std::size_t{layout.layers} * layout.experts * bytesPerCount;
+    m_choicesPeriod = std::max(minChoicesPeriod, config.link.period(stateBytes + countBytes, choicesShare));
+    m_switchQueryPeriod = std::max(minSwitchQueryPeriod, config.link.period(stateBytes, statesShare));
 }
 
 void GroupCoordinator::tick(TimePoint now)
 {
     m_now = now;
     if (now >= m_nextQueryAt) {
-        m_nextQueryAt = now + (m_switch ? switchQueryPeriod : choicesPeriod);
+        m_nextQueryAt = now + (m_switch ? m_switchQueryPeriod : queryPeriod);
         sendQueries(now);
     }
     if (m_switch) {
@@ -67,7 +80,7 @@
 void GroupCoordinator::sendQueries(TimePoint now)
 {
     for (auto &block : m_blocks) {
-        if (now >= block.queryRanksSinglyUntil) {
+        if (now >= block.callRanksSinglyUntil) {
             sendQuery(now, block);
             continue;
         }
@@ -88,9 +101,13 @@
     query.first = target.first;
     query.count = target.count;
     query.withHeld = m_needsHeldExperts;
-    query.withChoices = now >= target.nextChoicesAt;
+    query.withChoices = now >= target.nextChoicesAt && !isOrderUrgent();
     if (query.withChoices) {
-        target.nextChoicesAt = now + choicesPeriod;
+        target.nextChoicesAt = now + m_choicesPeriod;
+    }
+    if (now >= target.nextLoadsAt) {
+        target.nextLoadsAt = now + queryPeriod;
+        query.loads = loads();
     }
     // The reference stays valid: m_blocks and m_singleRanks do not change after construction.
     m_link.queryRanks(
@@ -101,11 +118,17 @@
         });
 }
 
+/** The group is on hold, or is about to be: the orders that end the hold must not wait behind counts. */
+bool GroupCoordinator::isOrderUrgent() const
+{
+    return m_switch && m_switch->phase() != MapSwitch::Phase::Preparing;
+}
+
 void GroupCoordinator::onGroupReport(QueryTarget &target, const RankQuery &query, std::optional<GroupReport> report)
 {
     target.isQueryPending = false;
     if (!report || report->ranks.size() < query.count) {
-        target.queryRanksSinglyUntil = m_now + singleQueryTime;
+        target.callRanksSinglyUntil = m_now + singleCallTime;
     }
     if (!report) {
         return;
@@ -115,6 +138,7 @@
     }
     if (!report->choices.empty()) {
         m_balancer.observe(m_now, report->choices);
+        m_isProposalDue = true;
     }
     if (m_switch) {
         advanceSwitch(m_now);
@@ -139,18 +163,20 @@
     lastReport.isStale = lastReport.isStale && !isFromCurrentPhase;
 }
 
-GroupLoads GroupCoordinator::loads() const
+std::optional<GroupLoads> GroupCoordinator::loads() const
 {
     GroupLoads loads;
     for (const auto &it : m_lastReports) {
-        const bool isFresh = it.state && m_now - it.receivedAt < loadLifetime;
-        loads.ranks.push_back(isFresh ? std::optional(BackendLoad{it.state->running, it.state->waiting, it.state->pace})
-                                      : std::nullopt);
-        if (it.state) {
-            loads.group = it.state->group;
+        const auto age = m_now - it.receivedAt;
+        if (!it.state || age >= loadLifetime) {
+            loads.ranks.emplace_back();
+            continue;
         }
+        loads.ranks.emplace_back(BackendLoad{it.state->running, it.state->waiting, it.state->pace});
+        loads.group = it.state->group;
+        loads.age = std::max(loads.age, std::chrono::ceil<std::chrono::milliseconds>(age));
     }
-    return loads;
+    return loads.group.empty() ? std::nullopt : std::optional(std::move(loads));
 }
 
 void GroupCoordinator::advanceSwitch(TimePoint now)
@@ -170,23 +196,67 @@
                  "map switch entered a new phase",
                  {{"map", m_switch->version()}, {"phase", static_cast<int>(m_switch->phase())}});
     }
-    for (const auto &[rank, order] : orders) {
-        m_link.sendOrder(
-            rank,
-            order,
-            [this, n = rank, sent = order, life = std::weak_ptr<int>(m_aliveToken)](std::optional<OrderAnswer> answer) {
-                if (life.expired() || !m_switch || m_switch->version() != sent.version) {
-                    return;
-                }
-                m_switch->onAnswer(m_now, n, sent, answer);
-                advanceSwitch(m_now);
-            });
+    for (const auto &it : orders) {
+        sendOrder(it);
     }
     if (m_switch->isEnded()) {
         endSwitch(now);
     }
 }
 
+GroupCoordinator::QueryTarget &GroupCoordinator::blockOf(std::uint32_t rank)
+{
+    return m_blocks[rank / m_blocks.front().count];
+}
+
+/** Splits the ranks of @p order into blocks. */
+void GroupCoordinator::sendOrder(const GroupOrder &order)
+{
+    GroupOrder part{{}, order.order};
+    for (const auto it : order.ranks) {
+        const bool isSingle = m_now < blockOf(it).callRanksSinglyUntil;
+        const bool isNewBlock = !part.ranks.empty() && &blockOf(part.ranks.front()) != &blockOf(it);
+        if (!part.ranks.empty() && (isSingle || isNewBlock)) {
+            sendToBlock(part);
+            part.ranks.clear();
+        }
+        part.ranks.push_back(it);
+    }
+    if (!part.ranks.empty()) {
+        sendToBlock(part);
+    }
+}
+
+void GroupCoordinator::sendToBlock(const GroupOrder &order)
+{
+    // The answer is matched by these; the map is not needed for that.
+    GroupOrder sent{order.ranks, {}};
+    sent.order.kind = order.order.kind;
+    sent.order.version = order.order.version;
+    sent.order.pass = order.order.pass;
+    m_link.sendOrder(
+        order, [this, sent = std::move(sent), life = std::weak_ptr<int>(m_aliveToken)](const OrderAnswers &answers) {
+            if (!life.expired()) {
+                onOrderAnswers(sent, answers);
+            }
+        });
+}
+
+void GroupCoordinator::onOrderAnswers(const GroupOrder &order, const OrderAnswers &answers)
+{
+    if (!m_switch || m_switch->version() != order.order.version) {
+        return;
+    }
+    for (std::size_t n = 0; n < order.ranks.size(); ++n) {
+        const auto answer = n < answers.size() ? answers[n] : std::nullopt;
+        if (!answer && order.ranks.size() > 1) {
+            blockOf(order.ranks[n]).callRanksSinglyUntil = m_now + singleCallTime;
+        }
+        m_switch->onAnswer(m_now, order.ranks[n], order.order.kind, order.order.pass, answer);
+    }
+    advanceSwitch(m_now);
+}
+
 void GroupCoordinator::endSwitch(TimePoint now)
 {
     const bool isDone = m_switch->phase() == MapSwitch::Phase::Done;
@@ -209,6 +279,7 @@
         m_nextProposalAt = now + abandonBackoff;
     }
     m_switch.reset();
+    m_isProposalDue = true;
 }
 
 bool GroupCoordinator::areStatesCurrent(TimePoint now) const
@@ -304,6 +375,9 @@
     if (m_mapNumber != m_lastReports.front().state->map && !updateCurrentMap()) {
         return;
     }
+    if (!std::exchange(m_isProposalDue, false)) {
+        return;
+    }
     std::vector<double> slowdowns;
     for (const auto &it : m_lastReports) {
         slowdowns.push_back(it.state->pace);
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "expert_balancer.h"
+#include "link_budget.h"
 #include "map_switch.h"
 #include "rank_load.h"
 #include "rank_report.h"
@@ -18,11 +19,21 @@
 struct GroupLink
 {
     using ReportHandler = std::function<void(std::optional<GroupReport> report)>;
-    using OrderHandler = std::function<void(std::optional<OrderAnswer> answer)>;
+    /** @p answers: by rank, in the order of GroupOrder::ranks; nothing for a rank that did not answer. */
+    using OrderHandler = std::function<void(OrderAnswers answers)>;
 
     /** Queries the agent of the first rank. */
     std::function<void(const RankQuery &query, ReportHandler handler)> queryRanks;
-    std::function<void(std::uint32_t rank, const RankOrder &order, OrderHandler handler)> sendOrder;
+    /** Sends the order to the agent of the first rank, which passes it on to the others. */
+    std::function<void(const GroupOrder &order, OrderHandler handler)> sendOrder;
+};
+
+struct GroupCoordinatorConfig
+{
+    ExpertBalancerConfig balancer;
+    LinkBudget link{0}; ///< Of the instance of each agent.
+
+    bool operator==(const GroupCoordinatorConfig &) const = default;
 };
 
 /**
@@ -30,14 +41,18 @@
  * rank coordinatorRank; the agents of the other ranks only answer queries and forward orders. All state can be rebuilt
  * from the ranks.
  *
- * Ranks are queried in blocks of about the square root of the group size, through the agent of the first rank of the
- * block, which adds up the counts. The number of reports that the coordinator receives thus grows with the square root
- * of the group size. If a block does not answer in full, its ranks are queried one by one for a while.
+ * Load pattern: many ranks with many experts behind slow links. Ranks are queried in blocks of about the square root of
+ * the group size, through the agent of the first rank of the block, which adds up the counts; orders go the same way.
+ * The traffic of the coordinator and of that agent thus grows with the square root of the group size, and the periods of
+ * queries are such that it stays within a share of the link. If a block does not answer in full, its ranks are called
+ * one by one for a while.
+ *
+ * Queries also carry the loads of all ranks, so that any agent can pass them on to the gateways near it.
  */
 class GroupCoordinator
 {
 public:
-    GroupCoordinator(const ExpertBalancerConfig &config,
+    GroupCoordinator(const GroupCoordinatorConfig &config,
                      const ExpertLayout &layout,
                      std::size_t ranks,
                      GroupLink link,
@@ -47,8 +62,8 @@
 
     void tick(TimePoint now);
 
-    /** Loads of the ranks that have reported recently. */
-    GroupLoads loads() const;
+    /** Loads of the ranks that have reported recently; nothing if none has. */
+    std::optional<GroupLoads> loads() const;
 
     std::size_t ranks() const
     {
@@ -74,7 +89,8 @@
         bool isQueryPending = false;
         std::uint64_t phase = 0; ///< Value of m_phaseCount when the query was sent.
         TimePoint nextChoicesAt{}; ///< When the next query for counts is due.
-        TimePoint queryRanksSinglyUntil{}; ///< Until then, the ranks of the block are queried one by one.
+        TimePoint nextLoadsAt{}; ///< When the loads are to be sent next.
+        TimePoint callRanksSinglyUntil{}; ///< Until then, the ranks of the block are called one by one.
     };
 
     void sendQueries(TimePoint now);
@@ -82,6 +98,11 @@
     void onGroupReport(QueryTarget &target, const RankQuery &query, std::optional<GroupReport> report);
     void updateRank(TimePoint now, RankReport report, bool isFromCurrentPhase);
     void advanceSwitch(TimePoint now);
+    void sendOrder(const GroupOrder &order);
+    void sendToBlock(const GroupOrder &order);
+    void onOrderAnswers(const GroupOrder &order, const OrderAnswers &answers);
+    QueryTarget &blockOf(std::uint32_t rank);
+    bool isOrderUrgent() const;
     void startOrResumeSwitch(TimePoint now);
     bool areStatesCurrent(TimePoint now) const;
     bool updateCurrentMap();
@@ -90,6 +111,8 @@
     void endSwitch(TimePoint now);
 
     ExpertLayout m_layout;
+    std::chrono::milliseconds m_choicesPeriod{}; ///< Of queries for counts.
+    std::chrono::milliseconds m_switchQueryPeriod{}; ///< Of queries for states during a switch.
     GroupLink m_link;
     std::mt19937_64 &m_random;
     ExpertBalancer m_balancer;
@@ -101,6 +124,7 @@
     std::optional<MapNumber> m_mapNumber; ///< Of m_map; nothing if the map in use is unknown.
     LayerMaps m_map;
     bool m_needsHeldExperts = false;
+    bool m_isProposalDue = false; ///< Something that a proposal depends on has changed since the last one.
     std::uint64_t m_epoch = 0;
     TimePoint m_now{}; ///< Time of the last tick.
     TimePoint m_nextQueryAt{};
--- a/src/map_switch.cpp
+++ b/src/map_switch.cpp
@@ -1,6 +1,7 @@
 #include "map_switch.h"
 
 #include <algorithm>
+#include <array>
 
 namespace turmericline {
 
@@ -15,6 +16,7 @@
     , m_epoch(epoch)
     , m_version(version)
     , m_update(std::move(update))
+    , m_digest(mapDigest(m_update.map))
     , m_ranks(ranks)
 {
 }
@@ -131,59 +133,95 @@
     }
 }
 
-void MapSwitch::addOrder(TimePoint now, std::uint32_t rank, RankOrderKind kind, Orders &orders)
+/** Order that @p rank needs in the current phase. */
+std::optional<RankOrderKind> MapSwitch::orderFor(std::uint32_t n) const
 {
-    auto &it = m_ranks[rank];
-    if (it.sentAt != TimePoint::min() && now - it.sentAt < m_config.resendInterval) {
-        return;
+    const auto &rank = m_ranks[n];
+    const bool isCoordinator = n == coordinatorRank;
+    switch (m_phase) {
+    case Phase::Preparing:
+        return rank.isPrepared || rank.hasAcceptedPrepare ? std::nullopt : std::optional(RankOrderKind::Prepare);
+    case Phase::Holding:
+        return isCoordinator && m_heldPass != 0 ? std::optional(RankOrderKind::Hold) : std::nullopt;
+    case Phase::Arming:
+        return rank.isArmed ? std::nullopt : std::optional(RankOrderKind::Arm);
+    case Phase::Disarming:
+        return rank.isDisarmed ? std::nullopt : std::optional(RankOrderKind::Disarm);
+    case Phase::Releasing:
+        return isCoordinator ? std::optional(RankOrderKind::Go) : std::nullopt;
+    case Phase::Done:
+    case Phase::Abandoned:
+        break;
     }
-    it.sentAt = now;
-    it.pendingArmOrders += kind == RankOrderKind::Arm ? 1 : 0;
-    RankOrder order;
+    return std::nullopt;
+}
+
+bool MapSwitch::isDue(TimePoint now, std::uint32_t n) const
+{
+    const auto &rank = m_ranks[n];
+    // A map takes long to send over a slow link; a copy of the order behind it would only delay the others.
+    const bool isOnTheWay = m_phase == Phase::Preparing && rank.pendingOrders > 0;
+    return !isOnTheWay && (rank.sentAt == TimePoint::min() || now - rank.sentAt >= m_config.resendInterval);
+}
+
+GroupOrder MapSwitch::makeOrder(RankOrderKind kind, bool withFullMap) const
+{
+    GroupOrder group;
+    auto &order = group.order;
     order.kind = kind;
     order.epoch = m_epoch;
     order.version = m_version;
     order.pass = m_heldPass;
     if (kind == RankOrderKind::Prepare) {
-        order.digest = mapDigest(m_update.map);
-        if (it.needsFullMap) {
+        order.digest = m_digest;
+        if (withFullMap) {
             order.map = m_update.map;
         } else {
             order.base = m_update.base;
             order.changes = m_update.changes;
         }
     }
-    orders.emplace_back(rank, std::move(order));
+    return group;
 }
 
-std::vector<std::pair<std::uint32_t, RankOrder>> MapSwitch::poll(TimePoint now,
-                                                                 std::span<const std::optional<RankState>> states)
+std::vector<GroupOrder> MapSwitch::poll(TimePoint now, std::span<const std::optional<RankState>> states)
 {
-    Orders orders;
     observe(now, states);
     if (!isEnded()) {
         advance(now, states);
     }
+    // All ranks that need an order in a phase need the same one, apart from those that need the full map.
+    std::array<std::optional<GroupOrder>, 2> orders;
     for (std::uint32_t n = 0; n < m_ranks.size(); ++n) {
-        const auto &rank = m_ranks[n];
-        if (m_phase == Phase::Preparing && !rank.isPrepared && !rank.hasAcceptedPrepare) {
-            addOrder(now, n, RankOrderKind::Prepare, orders);
-        } else if (m_phase == Phase::Holding && n == coordinatorRank && m_heldPass != 0) {
-            addOrder(now, n, RankOrderKind::Hold, orders);
-        } else if (m_phase == Phase::Arming && !rank.isArmed) {
-            addOrder(now, n, RankOrderKind::Arm, orders);
-        } else if (m_phase == Phase::Disarming && !rank.isDisarmed) {
-            addOrder(now, n, RankOrderKind::Disarm, orders);
-        } else if (m_phase == Phase::Releasing && n == coordinatorRank) {
-            addOrder(now, n, RankOrderKind::Go, orders);
+        const auto kind = orderFor(n);
+        if (!kind || !isDue(now, n)) {
+            continue;
         }
+        auto &rank = m_ranks[n];
+        rank.sentAt = now;
+        ++rank.pendingOrders;
+        rank.pendingArmOrders += kind == RankOrderKind::Arm ? 1 : 0;
+        const bool withFullMap = kind == RankOrderKind::Prepare && rank.needsFullMap;
+        auto &group = orders[withFullMap ? 1 : 0];
+        if (!group) {
+            group = makeOrder(*kind, withFullMap);
+        }
+        group->ranks.push_back(n);
     }
-    return orders;
+    std::vector<GroupOrder> due;
+    for (auto &it : orders) {
+        if (it) {
+            due.push_back(std::move(*it));
+        }
+    }
+    return due;
 }
 
-void MapSwitch::onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<OrderAnswer> answer)
+void MapSwitch::onAnswer(
+    TimePoint now, std::uint32_t rank, RankOrderKind kind, PassNumber pass, std::optional<OrderAnswer> answer)
 {
     auto &it = m_ranks[rank];
+    --it.pendingOrders;
     if (answer == OrderAnswer::BaseUnknown) {
         it.needsFullMap = true;
         it.sentAt = TimePoint::min();
@@ -193,9 +231,9 @@
     if (!answer) {
         it.sentAt = TimePoint::min(); // Orders are idempotent, so the order can be repeated at once.
     }
-    if (order.kind == RankOrderKind::Prepare) {
+    if (kind == RankOrderKind::Prepare) {
         it.hasAcceptedPrepare = isAccepted;
-    } else if (order.kind == RankOrderKind::Arm) {
+    } else if (kind == RankOrderKind::Arm) {
         --it.pendingArmOrders;
         if (!answer) {
             m_lastUnansweredArmAt = now;
@@ -203,7 +241,7 @@
             it.isArmed = isAccepted || it.isArmed;
             it.hasRefused = !isAccepted;
         }
-    } else if (order.kind == RankOrderKind::Hold && m_phase == Phase::Holding && order.pass == m_heldPass && answer) {
+    } else if (kind == RankOrderKind::Hold && m_phase == Phase::Holding && pass == m_heldPass && answer) {
         m_isHeld = isAccepted;
     }
 }
--- a/src/map_switch.h
+++ b/src/map_switch.h
@@ -67,14 +67,14 @@
                             PassNumber held);
 
     /**
-     * Returns the orders to send now, with their ranks. @p states: state that each rank has reported since the last
+     * Returns the orders to send now. @p states: state that each rank has reported since the last
      * call; nothing for a rank that has not. States that were read before the current phase began must be left out,
      * since they do not show the effect of its orders.
      */
-    std::vector<std::pair<std::uint32_t, RankOrder>> poll(TimePoint now,
-                                                          std::span<const std::optional<RankState>> states);
-    /** @p answer: nothing if the order was not answered. */
-    void onAnswer(TimePoint now, std::uint32_t rank, const RankOrder &order, std::optional<OrderAnswer> answer);
+    std::vector<GroupOrder> poll(TimePoint now, std::span<const std::optional<RankState>> states);
+    /** To be called once for each rank of each order. @p answer: nothing if the rank did not answer. */
+    void
+    onAnswer(TimePoint now, std::uint32_t rank, RankOrderKind kind, PassNumber pass, std::optional<OrderAnswer> answer);
 
     Phase phase() const
     {
@@ -110,17 +110,18 @@
         bool needsFullMap = false; ///< Its agent does not have the base map, so the delta cannot be applied.
         bool isArmed = false;
         bool isDisarmed = false;
-        std::uint32_t pendingArmOrders = 0; ///< Arm orders in flight.
+        std::uint32_t pendingOrders = 0; ///< Orders in flight; those to arm are counted in pendingArmOrders as well.
+        std::uint32_t pendingArmOrders = 0;
         bool hasRefused = false; ///< Its last answer to an arm order was a refusal.
         TimePoint sentAt = TimePoint::min();
     };
 
-    using Orders = std::vector<std::pair<std::uint32_t, RankOrder>>;
-
     void observe(TimePoint now, std::span<const std::optional<RankState>> states);
     void advance(TimePoint now, std::span<const std::optional<RankState>> states);
     void enterPhase(Phase phase);
-    void addOrder(TimePoint now, std::uint32_t rank, RankOrderKind kind, Orders &orders);
+    std::optional<RankOrderKind> orderFor(std::uint32_t rank) const;
+    bool isDue(TimePoint now, std::uint32_t rank) const;
+    GroupOrder makeOrder(RankOrderKind kind, bool withFullMap) const;
     bool allRanks(bool Rank::*flag) const;
     bool hasPendingArmOrders() const;
 
@@ -129,6 +130,7 @@
     std::uint64_t m_epoch;
     MapNumber m_version;
     MapUpdate m_update;
+    std::uint64_t m_digest; ///< Of the map of m_update.
     std::vector<Rank> m_ranks;
     Phase m_phase = Phase::Preparing;
     PassNumber m_heldPass = 0; ///< Pass that is on hold.
--- a/src/rank_load_reader.cpp
+++ b/src/rank_load_reader.cpp
@@ -10,18 +10,22 @@
 
 namespace {
 
-/** The coordinator queries its ranks at the same interval, so faster polling would give no newer loads. */
+/** The coordinator sends the loads at the same interval, so faster polling would give no newer ones. */
 constexpr std::chrono::milliseconds queryPeriod{100};
-/** Interval after a failed query. */
-constexpr std::chrono::milliseconds failurePeriod{1'000};
+/** Interval after a failed query. The next one goes to another agent. */
+constexpr std::chrono::milliseconds failurePeriod{200};
 constexpr std::chrono::milliseconds queryTimeout{250};
 constexpr int statusOk = 200;
 
 } // namespace
 
-RankLoadReader::RankLoadReader(asio::io_context &io, BackendTable &backends, std::uint16_t agentPort)
+RankLoadReader::RankLoadReader(asio::io_context &io,
+                               BackendTable &backends,
+                               std::uint16_t agentPort,
+                               std::mt19937_64 &random)
     : m_backends(backends)
     , m_agentPort(agentPort)
+    , m_random(random)
     , m_caller(io)
 {
 }
@@ -32,44 +36,48 @@
     if (m_agentPort == 0) {
         return;
     }
-    for (const auto &record : m_backends.serversWithRank(coordinatorRank)) {
-        auto &group = m_groups[record.group];
-        if (!group.isQueryPending && now >= group.nextQueryAt) {
+    for (const auto &name : m_backends.groups()) {
+        auto &group = m_groups[name];
+        if (group.isQueryPending || now < group.nextQueryAt) {
+            continue;
+        }
+        if (const auto *server = m_backends.chooseNearRank(name, m_random)) {
             group.isQueryPending = true;
-            queryCoordinator(now,
-                             record.group,
-                             record.address.substr(0, record.address.rfind(':') + 1) + std::to_string(m_agentPort));
+            group.nextQueryAt = now + queryPeriod;
+            queryAgent(now, *server);
         }
     }
 }
 
-void RankLoadReader::queryCoordinator(TimePoint now, const std::string &name, const std::string &address)
+void RankLoadReader::queryAgent(TimePoint now, const BackendRecord &server)
 {
-    m_groups[name].nextQueryAt = now + queryPeriod;
-    m_backends.onGroupLoadsQueried(name);
+    m_backends.onGroupLoadsQueried(server.group);
     m_caller.get(now,
-                 address,
+                 server.address.substr(0, server.address.rfind(':') + 1) + std::to_string(m_agentPort),
                  std::string(loadsTarget),
                  queryTimeout,
-                 [this, name](const std::optional<HttpReply> &reply, const std::string &reason) {
-                     onReply(name, reply, reason);
+                 [this, name = server.group, now](const std::optional<HttpReply> &reply, const std::string &reason) {
+                     onReply(name, now, reply, reason);
                  });
 }
 
-void RankLoadReader::onReply(const std::string &name, const std::optional<HttpReply> &reply, const std::string &reason)
+/** The loads are no older than their stated age at the time of the query. */
+void RankLoadReader::onReply(const std::string &name,
+                             TimePoint queriedAt,
+                             const std::optional<HttpReply> &reply,
+                             const std::string &reason)
 {
-    const auto now = std::chrono::steady_clock::now();
     auto &group = m_groups[name];
     group.isQueryPending = false;
     auto loads = !reply                      ? Result<GroupLoads>::fail(reason)
                  : reply->status != statusOk ? Result<GroupLoads>::fail("status " + std::to_string(reply->status))
                                              : decodeGroupLoads(reply->body);
     if (!loads || loads.value->group != name) {
-        group.nextQueryAt = now + failurePeriod;
+        group.nextQueryAt = std::chrono::steady_clock::now() + failurePeriod;
         logEvent(LogLevel::Debug, "loads of a group not read", {{"group", name}, {"reason", loads.reason}});
         return;
     }
-    m_backends.onGroupLoads(now, name, loads.value->ranks);
+    m_backends.onGroupLoads(queriedAt - loads.value->age, name, loads.value->ranks);
 }
 
 } // namespace turmericline
--- a/src/rank_report.h
+++ b/src/rank_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rank_load.h"
 #include "rank_type.h"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
     std::uint32_t count = 1;
     bool withChoices = false;
     bool withHeld = false;
+    std::optional<GroupLoads> loads; ///< Loads of the whole group, for the agents that the query reaches.
 };
 
 /** Most ranks per query: the square root of the largest supported group size. */
--- a/src/rank_type.h
+++ b/src/rank_type.h
@@ -90,6 +90,13 @@
     std::uint64_t digest = 0; ///< Digest of the full map.
 };
 
+/** An order to several ranks. */
+struct GroupOrder
+{
+    std::vector<std::uint32_t> ranks;
+    RankOrder order;
+};
+
 /** Result of an order. */
 enum class OrderAnswer {
     Accepted,
@@ -97,4 +104,13 @@
     BaseUnknown, ///< The agent does not have the base map; the order was not executed.
 };
 
+/** Answers of several ranks to one order; nothing for a rank that did not answer. */
+using OrderAnswers = std::vector<std::optional<OrderAnswer>>;
+
+inline constexpr std::array<NamedValue<OrderAnswer>, 3> orderAnswerNames{{
+    {OrderAnswer::Accepted, "accepted"},
+    {OrderAnswer::Refused, "refused"},
+    {OrderAnswer::BaseUnknown, "base unknown"},
+}};
+
 } // namespace turmericline
