Let one gateway of a failure domain read the store for the others

Change: gateways of a domain choose the same one of the gateways that they know by gossip, which now carries failure domains, and poll it twice a second (feed_follower, feed_log, feed_relay). It answers with the changes of the servers, and with how recently it has seen which version of the configuration; the configuration itself, which holds the keys, is still read from the store by each. The age of a fact is counted from the poll, so time in transit cannot make it seem recent. A reader that is silent, stops, or has old facts is left within a second for the store itself. Domains of fewer than six gateways are as before. States of both sources are put in order by era and revision (feed_order). The log of a gateway tells when it follows another one, /status says which.

Ruled out: longer watches, which would also age the proof that a key has not been removed.

--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -37,6 +37,11 @@
     /** Whether a watch of items with @p prefix is waiting. */
     bool hasWatch(std::string_view prefix) const;
 
+    std::size_t watchCount() const
+    {
+        return m_watches.size();
+    }
+
     /** Goes back to @p copy, in a new era. Open watches are cut, or kept and answered from the new state. */
     void restore(const StoreModel &copy, bool keepsWatches);
 
--- /dev/null
+++ b/src/feed_relay_codec.cpp
@@ -0,0 +1,121 @@
+#include "feed_relay_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericline {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** Must be raised when the meaning of a message changes; messages with other numbers are rejected. */
+constexpr int formatNumber = 1;
+
+std::string pack(const Json &json)
+{
+    const auto bytes = Json::to_msgpack(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::chrono::milliseconds readMs(const Json &json, const char *name)
+{
+    return std::chrono::milliseconds(json.at(name).get<std::uint32_t>());
+}
+
+Json packItem(const StoreItem &item)
+{
+    return item.isDeleted ? Json::array({item.key}) : Json::array({item.key, item.value});
+}
+
+StoreItem unpackItem(const Json &json)
+{
+    const bool isDeleted = json.size() < 2;
+    return {json.at(0).get<std::string>(), isDeleted ? std::string() : json.at(1).get<std::string>(), isDeleted};
+}
+
+FeedCursor unpackCursor(const Json &json)
+{
+    return {json.at("log").get<std::uint64_t>(), json.at("change").get<std::uint64_t>()};
+}
+
+FeedPoll unpackPoll(const Json &json)
+{
+    return {unpackCursor(json), readMs(json, "wait_ms")};
+}
+
+FeedNews unpackNews(const Json &json)
+{
+    FeedNews news;
+    news.cursor = unpackCursor(json);
+    if (const auto &era = json.at("era"); !era.is_null()) {
+        news.servers.position.era = era.get<StoreEra>();
+    }
+    news.servers.position.revision = json.at("revision").get<std::uint64_t>();
+    news.servers.isSnapshot = json.at("all").get<bool>();
+    for (const auto &it : json.at("items")) {
+        news.servers.items.push_back(unpackItem(it));
+    }
+    news.serversAge = readMs(json, "servers_age_ms");
+    news.outage = readMs(json, "outage_ms");
+    news.configVersion = json.at("config").get<std::uint64_t>();
+    news.configAge = readMs(json, "config_age_ms");
+    news.held = readMs(json, "held_ms");
+    return news;
+}
+
+template<typename T>
+Result<T> unpack(std::string_view bytes, T (*read)(const Json &))
+{
+    try {
+        const auto json = Json::from_msgpack(bytes.begin(), bytes.end());
+        if (json.at("format").get<int>() != formatNumber) {
+            return Result<T>::fail("unknown format number");
+        }
+        return Result<T>::ok(read(json));
+    } catch (const Json::exception &error) {
+        return Result<T>::fail(error.what());
+    }
+}
+
+} // namespace
+
+std::string encodeFeedPoll(const FeedPoll &poll)
+{
+    return pack({{"format", formatNumber},
+                 {"log", poll.cursor.log},
+                 {"change", poll.cursor.change},
+                 {"wait_ms", poll.wait.count()}});
+}
+
+Result<FeedPoll> decodeFeedPoll(std::string_view bytes)
+{
+    return unpack(bytes, unpackPoll);
+}
+
+std::string encodeFeedNews(const FeedNews &news)
+{
+    const auto &position = news.servers.position;
+    auto items = Json::array();
+    for (const auto &it : news.servers.items) {
+        items.push_back(packItem(it));
+    }
+    return pack({{"format", formatNumber},
+                 {"log", news.cursor.log},
+                 {"change", news.cursor.change},
+                 {"era", position.era ? Json(*position.era) : Json()},
+                 {"revision", position.revision},
+                 {"all", news.servers.isSnapshot},
+                 {"items", std::move(items)},
+                 {"servers_age_ms", news.serversAge.count()},
+                 {"outage_ms", news.outage.count()},
+                 {"config", news.configVersion},
+                 {"config_age_ms", news.configAge.count()},
+                 {"held_ms", news.held.count()}});
+}
+
+Result<FeedNews> decodeFeedNews(std::string_view bytes)
+{
+    return unpack(bytes, unpackNews);
+}
+
+} // namespace turmericline
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -69,29 +69,12 @@
     , m_dialect(std::move(dialect))
     , m_random(randomSeed())
     , m_backends(settings.domain)
-    , m_suspects(io, {settings.suspectHold, settings.peer, settings.seeds}, m_backends, m_random)
+    , m_suspects(io, {settings.suspectHold, settings.domain, settings.peer, settings.seeds}, m_backends, m_random)
     , m_registry(m_dialect, m_backends)
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort), m_random)
     , m_pool(io)
     , m_retryConfig(retryConfig(settings, 1))
-    , m_configReader(
-          io,
-          m_dialect,
-          configFeedConfig(m_dialect.configKey),
-          settings.store,
-          [this](TimePoint, const StoreChange &change, std::chrono::milliseconds outage) {
-              onConfig(change, outage);
-          },
-          m_random)
-    , m_serverReader(
-          io,
-          m_dialect,
-          serverFeedConfig(m_dialect.serverPrefix),
-          settings.store,
-          [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
-              onServers(now, change, outage);
-          },
-          m_random)
+    , m_feeds(io, m_dialect, settings.store, feedHandlers(), m_random)
     , m_acceptor(io, requireEndpoint(settings.listen))
     , m_timer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
@@ -102,15 +85,13 @@
         return isReady();
     };
     handlers.metrics = [this] {
-        m_metrics.setCounts(m_callers.size(),
-                            m_calls.size(),
-                            m_configReader.feed().callCount() + m_serverReader.feed().callCount(),
-                            m_pool.openedCount());
+        m_metrics.setCounts(m_callers.size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
         return m_metrics.text();
     };
     handlers.status = [this] {
         return nlohmann::json{{"config_version", m_table ? m_table->config().version : 0},
                               {"requests_in_flight", m_calls.size()},
+                              {"follows", m_feeds.followedGateway()},
                               {"suspects", m_suspects.status()}};
     };
     const auto ready = requireEndpoint(settings.ready);
@@ -119,12 +100,33 @@
         const auto ops = requireEndpoint(settings.metrics);
         m_opsServer = std::make_unique<OpsServer>(io, ops.address().to_string(), ops.port(), handlers);
     }
+    if (const auto address = m_suspects.ownAddress(); !address.empty()) {
+        m_feeds.startRelay(io, address);
+        m_suspects.setPollHandler([this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            m_feeds.onPoll(request, responder);
+        });
+    }
     logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"listen", settings.listen}});
     waitForSignal();
     accept();
     tick();
 }
 
+GatewayFeeds::Handlers Gateway::feedHandlers()
+{
+    GatewayFeeds::Handlers handlers;
+    handlers.onConfig = [this](const StoreChange &change, std::chrono::milliseconds outage) {
+        onConfig(change, outage);
+    };
+    handlers.onServers = [this](TimePoint now, const StoreChange &change, std::chrono::milliseconds outage) {
+        onServers(now, change, outage);
+    };
+    handlers.configVersion = [this] {
+        return m_table ? m_table->config().version : 0;
+    };
+    return handlers;
+}
+
 std::uint16_t Gateway::port() const
 {
     return m_acceptor.local_endpoint().port();
@@ -201,7 +203,7 @@
 
 void Gateway::refuse(CallerConnection &connection, const CallerFields &caller, const Reply &reply)
 {
-    const auto confirmed = m_configReader.feed().confirmedAt();
+    const auto confirmed = m_feeds.configConfirmedAt();
     const auto age = confirmed ? std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - *confirmed)
                                : std::chrono::milliseconds{-1};
     logEvent(LogLevel::Info,
@@ -267,9 +269,8 @@
 
 ServerBasis Gateway::serverBasis() const
 {
-    const auto &feed = m_serverReader.feed();
-    ServerBasis basis{feed.position(), std::nullopt};
-    if (const auto confirmed = feed.confirmedAt()) {
+    ServerBasis basis{m_feeds.serversPosition(), std::nullopt};
+    if (const auto confirmed = m_feeds.serversConfirmedAt()) {
         basis.age = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - *confirmed);
     }
     return basis;
@@ -298,13 +299,13 @@
 
 ConfigFreshness Gateway::freshness() const
 {
-    return m_table ? configFreshness(m_configReader.feed().confirmedAt(), BootClock::now(), m_settings.revokeBound)
+    return m_table ? configFreshness(m_feeds.configConfirmedAt(), BootClock::now(), m_settings.revokeBound)
                    : ConfigFreshness::Missing;
 }
 
 bool Gateway::isReady() const
 {
-    return !m_drainingSince && freshness() == ConfigFreshness::Recent && m_serverReader.feed().confirmedAt();
+    return !m_drainingSince && freshness() == ConfigFreshness::Recent && m_feeds.serversConfirmedAt();
 }
 
 void Gateway::scheduleTick()
@@ -320,10 +321,7 @@
 void Gateway::tick()
 {
     const auto now = std::chrono::steady_clock::now();
-    m_configReader.onKnownEra(now, m_serverReader.feed().era());
-    m_serverReader.onKnownEra(now, m_configReader.feed().era());
-    m_configReader.tick(now);
-    m_serverReader.tick(now);
+    m_feeds.tick(now, m_suspects.nearGateways(now));
     m_registry.tick(now);
     m_suspects.tick(now);
     onGatewayCount(m_suspects.gatewayCount());
@@ -352,8 +350,7 @@
 /** Updates what depends on the number of gateways: the retry allowance of this one, and the spread of reads. */
 void Gateway::onGatewayCount(std::size_t gateways)
 {
-    m_configReader.setRereadSpread(rereadSpread(gateways));
-    m_serverReader.setRereadSpread(rereadSpread(gateways));
+    m_feeds.setRereadSpread(rereadSpread(gateways));
     m_retryConfig = retryConfig(m_settings, gateways);
     for (auto &[service, window] : m_retries) {
         window.setLimits(m_retryConfig.ratio, m_retryConfig.allowance);
@@ -381,6 +378,7 @@
         return;
     }
     logEvent(LogLevel::Info, "stopping", {{"requests_in_flight", m_calls.size()}});
+    m_feeds.stopRelay();
     m_drainingSince = std::chrono::steady_clock::now();
     for (const auto &it : m_callers) {
         it->drain(false);
@@ -438,8 +436,7 @@
     m_settings.retrySlack = next.retrySlack;
     if (next.store != m_settings.store) {
         m_settings.store = next.store;
-        m_configReader.setAddress(next.store);
-        m_serverReader.setAddress(next.store);
+        m_feeds.setAddress(next.store);
     }
     logEvent(LogLevel::Info, "settings reloaded", {{"store", m_settings.store}});
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -4,13 +4,13 @@
 #include "backend_registry.h"
 #include "caller_connection.h"
 #include "gateway_call.h"
+#include "gateway_feeds.h"
 #include "gateway_metrics.h"
 #include "gateway_route.h"
 #include "gateway_settings.h"
 #include "gateway_suspects.h"
 #include "ops_server.h"
 #include "rank_load_reader.h"
-#include "store_reader.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -45,6 +45,7 @@
     void tick();
     void scheduleTick();
     void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body);
+    GatewayFeeds::Handlers feedHandlers();
     void onConfig(const StoreChange &change, std::chrono::milliseconds outage);
     void onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage);
     ServerBasis serverBasis() const;
@@ -71,8 +72,7 @@
     std::map<std::string, RetryWindow, std::less<>> m_retries;
     RetryWindowConfig m_retryConfig;
     std::shared_ptr<const RoutingTable> m_table;
-    StoreReader m_configReader;
-    StoreReader m_serverReader;
+    GatewayFeeds m_feeds;
     GatewayMetrics m_metrics;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_timer;
--- a/src/gateway_feed.cpp
+++ b/src/gateway_feed.cpp
@@ -10,8 +10,6 @@
 constexpr std::chrono::milliseconds freshnessMargin{300};
 /** The operators write lost changes again at once, backend servers within about 2 s. */
 constexpr std::chrono::milliseconds configSettleTime{2'300};
-/** Long poll of the servers; it may be longer than that of the configuration, which must be confirmed often. */
-constexpr std::chrono::milliseconds serverWatchWait{8'000};
 /** Minimum time between server reads. Servers keep serving for 2 s after they announce that they leave. */
 constexpr std::chrono::milliseconds serverWatchPeriod{400};
 /** Each gateway sends 2 reads; with this, 1,900 gateways send 4,000 a second. */
@@ -25,6 +23,7 @@
     StoreFeedConfig config;
     config.prefix = std::move(key);
     config.settleTime = configSettleTime;
+    config.watchWait = configWatchWait;
     return config;
 }
 
--- a/src/gateway_feed.h
+++ b/src/gateway_feed.h
@@ -9,6 +9,11 @@
 
 namespace turmericline {
 
+/** Long poll of the configuration, which must be confirmed often. */
+inline constexpr std::chrono::milliseconds configWatchWait{2'000};
+/** Long poll of the servers. */
+inline constexpr std::chrono::milliseconds serverWatchWait{8'000};
+
 /** Feed of the configuration, whose state must be confirmed often. */
 StoreFeedConfig configFeedConfig(std::string key);
 /** Feed of the announcements of backend servers. */
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -1,6 +1,7 @@
 #include "gateway_suspects.h"
 
 #include "address.h"
+#include "feed_relay_codec.h"
 #include "log.h"
 #include "suspect_codec.h"
 
@@ -12,6 +13,8 @@
 /** The steady clock stands still while the machine is suspended, so the gossip cannot see the time that passed. */
 constexpr std::chrono::milliseconds minSuspension{500};
 constexpr std::chrono::seconds expiryPeriod{10};
+/** In a large fleet, news of a gateway takes several rounds of gossip to arrive. */
+constexpr std::chrono::seconds nearPeerAge{20};
 constexpr std::size_t maxMessageBytes = 64U << 10U;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
@@ -63,20 +66,21 @@
     , m_caller(io)
 {
     if (!settings.listen.empty()) {
-        listen(settings.listen, settings.seeds, random);
+        listen(settings, random);
     }
 }
 
-void GatewaySuspects::listen(const std::string &address, std::vector<std::string> seeds, std::mt19937_64 &random)
+void GatewaySuspects::listen(const GatewaySuspectSettings &settings, std::mt19937_64 &random)
 {
+    const auto &address = settings.listen;
     m_server = std::make_unique<HttpServer>(
         m_io,
         peerServerConfig(requireEndpoint(address), maxMessageBytes),
         [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-            onRequest(request, *responder);
+            onRequest(request, responder);
         });
     auto ownAddress = address.substr(0, address.rfind(':') + 1) + std::to_string(m_server->port());
-    m_gossip.emplace(std::move(ownAddress), std::move(seeds), m_table, random);
+    m_gossip.emplace(std::move(ownAddress), settings.domain, settings.seeds, m_table, random);
 }
 
 std::uint16_t GatewaySuspects::port() const
@@ -134,15 +138,23 @@
     m_suspendedTime = suspendedTime;
 }
 
-void GatewaySuspects::onRequest(const HttpRequest &request, HttpResponder &responder)
+void GatewaySuspects::onRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    if (request.method != "POST" || request.path != gossipTarget) {
+    const bool isPost = request.method == "POST";
+    if (isPost && request.path == gossipTarget) {
+        onGossip(request, *responder);
+    } else if (isPost && request.path == feedTarget && m_onPoll) {
+        m_onPoll(request, responder);
+    } else {
         logEvent(LogLevel::Warning,
                  "rejected a call at the port for gateways",
                  {{"method", request.method}, {"path", request.path}});
-        responder.reply(statusNotFound, {}, "not found\n");
-        return;
+        responder->reply(statusNotFound, {}, "not found\n");
     }
+}
+
+void GatewaySuspects::onGossip(const HttpRequest &request, HttpResponder &responder)
+{
     const auto message = decodeGossip(request.body);
     if (!message) {
         logEvent(LogLevel::Warning, "rejected a message of another gateway", {{"reason", message.reason}});
@@ -221,6 +233,21 @@
     }
 }
 
+void GatewaySuspects::setPollHandler(PollHandler handler)
+{
+    m_onPoll = std::move(handler);
+}
+
+std::string GatewaySuspects::ownAddress() const
+{
+    return m_gossip ? m_gossip->ownAddress() : std::string();
+}
+
+std::vector<std::string> GatewaySuspects::nearGateways(TimePoint now) const
+{
+    return m_gossip ? m_gossip->nearPeers(now, nearPeerAge) : std::vector<std::string>();
+}
+
 std::size_t GatewaySuspects::gatewayCount() const
 {
     return m_gossip ? m_gossip->knownPeerCount() + 1 : 1;
--- a/src/gateway_suspects.h
+++ b/src/gateway_suspects.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 struct GatewaySuspectSettings
 {
     std::chrono::milliseconds hold{}; ///< A suspicion ends this long after its last crash.
+    std::string domain; ///< Failure domain of this gateway.
     std::string listen; ///< "IP:PORT" for messages of other gateways; without it, nothing is exchanged.
     std::vector<std::string> seeds; ///< "IP:PORT" of some gateways.
 };
@@ -57,9 +59,19 @@
     /** Number of gateways that this one knows, itself included. */
     std::size_t gatewayCount() const;
 
+    using PollHandler
+        = std::function<void(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)>;
+    /** Sets the handler of polls for what this gateway reads from the store; see feed_relay.h. */
+    void setPollHandler(PollHandler handler);
+    /** "IP:PORT" at which other gateways reach this one; empty if nothing is exchanged. */
+    std::string ownAddress() const;
+    /** Other gateways in this failure domain that were alive lately. */
+    std::vector<std::string> nearGateways(TimePoint now) const;
+
 private:
-    void listen(const std::string &address, std::vector<std::string> seeds, std::mt19937_64 &random);
-    void onRequest(const HttpRequest &request, HttpResponder &responder);
+    void listen(const GatewaySuspectSettings &settings, std::mt19937_64 &random);
+    void onRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void onGossip(const HttpRequest &request, HttpResponder &responder);
     void sendGossip(TimePoint now);
     void call(TimePoint now, const GossipCall &call);
     void onReply(const std::string &address, const std::optional<HttpReply> &reply, const std::string &reason);
@@ -75,6 +87,7 @@
     HttpCaller m_caller;
     std::unique_ptr<HttpServer> m_server; ///< Null if nothing is exchanged, as m_gossip.
     std::optional<Gossip> m_gossip;
+    PollHandler m_onPoll;
     TimePoint m_nextExpiryAt{};
     std::chrono::nanoseconds m_suspendedTime{}; ///< Time that this machine has been suspended since it started.
 };
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -17,8 +17,13 @@
 
 } // namespace
 
-Gossip::Gossip(std::string ownAddress, std::vector<std::string> seeds, SuspectTable &suspects, std::mt19937_64 &random)
+Gossip::Gossip(std::string ownAddress,
+               std::string ownDomain,
+               std::vector<std::string> seeds,
+               SuspectTable &suspects,
+               std::mt19937_64 &random)
     : m_ownAddress(std::move(ownAddress))
+    , m_ownDomain(std::move(ownDomain))
     , m_suspects(suspects)
     , m_random(random)
     , m_peers(m_ownAddress, std::move(seeds))
@@ -84,7 +89,7 @@
 
 std::vector<CrashReport> Gossip::merge(TimePoint now, const GossipMessage &message)
 {
-    m_peers.merge(now, {message.sender, std::chrono::milliseconds::zero()});
+    m_peers.merge(now, {message.sender, std::chrono::milliseconds::zero(), message.senderDomain});
     for (const auto &it : message.peers) {
         m_peers.merge(now, it);
     }
@@ -100,7 +105,7 @@
 
 GossipMessage Gossip::makeMessage(TimePoint now, std::vector<CrashReport> reports) const
 {
-    return {m_ownAddress, false, m_peers.sample(now, peersPerMessage, m_random), std::move(reports)};
+    return {m_ownAddress, m_ownDomain, false, m_peers.sample(now, peersPerMessage, m_random), std::move(reports)};
 }
 
 std::size_t Gossip::livePeerCount(TimePoint now) const
@@ -108,6 +113,11 @@
     return m_peers.liveCount(now);
 }
 
+std::vector<std::string> Gossip::nearPeers(TimePoint now, std::chrono::milliseconds maxAge) const
+{
+    return m_peers.peersInDomain(now, m_ownDomain, maxAge);
+}
+
 std::size_t Gossip::knownPeerCount() const
 {
     return m_peers.knownCount();
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -25,7 +25,11 @@
 {
 public:
     /** @p ownAddress: "IP:PORT" at which other gateways reach this one. */
-    Gossip(std::string ownAddress, std::vector<std::string> seeds, SuspectTable &suspects, std::mt19937_64 &random);
+    Gossip(std::string ownAddress,
+           std::string ownDomain,
+           std::vector<std::string> seeds,
+           SuspectTable &suspects,
+           std::mt19937_64 &random);
 
     void setSeeds(std::vector<std::string> seeds);
     /** Has the reports that were recorded since the last tick sent at the next one. */
@@ -45,12 +49,19 @@
     std::vector<CrashReport> onAnswer(TimePoint now, const GossipMessage &message);
     std::size_t livePeerCount(TimePoint now) const;
     std::size_t knownPeerCount() const;
+    /** See PeerList::peersInDomain(); for the own failure domain. */
+    std::vector<std::string> nearPeers(TimePoint now, std::chrono::milliseconds maxAge) const;
+    const std::string &ownAddress() const
+    {
+        return m_ownAddress;
+    }
 
 private:
     std::vector<CrashReport> merge(TimePoint now, const GossipMessage &message);
     GossipMessage makeMessage(TimePoint now, std::vector<CrashReport> reports) const;
 
     std::string m_ownAddress;
+    std::string m_ownDomain;
     SuspectTable &m_suspects;
     std::mt19937_64 &m_random;
     PeerList m_peers;
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -16,7 +16,10 @@
 
 PeerAge decodePeer(const Json &json)
 {
-    PeerAge peer{json.at(0).get<std::string>(), std::chrono::milliseconds(json.at(1).get<std::uint32_t>())};
+    PeerAge peer{json.at(0).get<std::string>(), std::chrono::milliseconds(json.at(1).get<std::uint32_t>()), {}};
+    if (json.size() > 2) { // Earlier versions do not send the failure domain.
+        peer.domain = json.at(2).get<std::string>();
+    }
     if (!parseEndpoint(peer.address)) {
         peer.address.clear();
     }
@@ -33,6 +36,7 @@
     if (!parseEndpoint(message.sender)) {
         return Result<GossipMessage>::fail("the sender's address is malformed");
     }
+    message.senderDomain = json.value("domain", "");
     message.wantsAllReports = json.at("wants_all").get<bool>();
     const auto &peers = json.at("peers");
     const auto &reports = json.at("reports");
@@ -61,7 +65,7 @@
 {
     auto peers = Json::array();
     for (const auto &it : message.peers) {
-        peers.push_back(Json::array({it.address, it.age.count()}));
+        peers.push_back(Json::array({it.address, it.age.count(), it.domain}));
     }
     auto reports = Json::array();
     for (const auto &it : message.reports) {
@@ -69,6 +73,7 @@
     }
     const auto bytes = Json::to_msgpack({{"format", formatNumber},
                                          {"sender", message.sender},
+                                         {"domain", message.senderDomain},
                                          {"wants_all", message.wantsAllReports},
                                          {"peers", std::move(peers)},
                                          {"reports", std::move(reports)}});
--- a/src/gossip_codec.h
+++ b/src/gossip_codec.h
@@ -14,6 +14,7 @@
 struct GossipMessage
 {
     std::string sender; ///< "IP:PORT" at which the sender takes such messages.
+    std::string senderDomain; ///< Empty if the sender does not state it.
     bool wantsAllReports = false; ///< The sender was out of contact, and may have missed any number of reports.
     std::vector<PeerAge> peers;
     std::vector<CrashReport> reports;
--- a/src/peer_list.cpp
+++ b/src/peer_list.cpp
@@ -35,33 +35,36 @@
 
 void PeerList::merge(TimePoint now, const PeerAge &peer)
 {
-    const auto known = m_aliveAt.find(peer.address);
-    const bool isFull = m_aliveAt.size() >= maxPeers && known == m_aliveAt.end();
+    const auto known = m_known.find(peer.address);
+    const bool isFull = m_known.size() >= maxPeers && known == m_known.end();
     if (peer.address == m_ownAddress || peer.age >= forgetTime || isFull) {
         return;
     }
     // Transit makes a message appear later than it was, so of two estimates the later one is the more recent sign.
-    auto &aliveAt = m_aliveAt[peer.address];
-    aliveAt = std::max(aliveAt, now - peer.age);
+    auto &entry = m_known[peer.address];
+    entry.aliveAt = std::max(entry.aliveAt, now - peer.age);
+    if (!peer.domain.empty()) {
+        entry.domain = peer.domain;
+    }
 }
 
 void PeerList::expire(TimePoint now)
 {
-    std::erase_if(m_aliveAt, [now](const auto &it) {
-        return now - it.second >= forgetTime;
+    std::erase_if(m_known, [now](const auto &it) {
+        return now - it.second.aliveAt >= forgetTime;
     });
 }
 
 bool PeerList::isLive(TimePoint now, const std::string &address) const
 {
-    const auto it = m_aliveAt.find(address);
-    return it != m_aliveAt.end() && now - it->second < liveTime;
+    const auto it = m_known.find(address);
+    return it != m_known.end() && now - it->second.aliveAt < liveTime;
 }
 
 std::vector<std::string> PeerList::chooseLive(TimePoint now, std::size_t n, std::mt19937_64 &random) const
 {
     std::vector<std::string> live;
-    for (const auto &[address, aliveAt] : m_aliveAt) {
+    for (const auto &[address, peer] : m_known) {
         if (isLive(now, address)) {
             live.push_back(address);
         }
@@ -72,13 +75,13 @@
 std::string PeerList::chooseSilent(TimePoint now, std::mt19937_64 &random) const
 {
     std::vector<std::string> silent;
-    for (const auto &[address, aliveAt] : m_aliveAt) {
+    for (const auto &[address, peer] : m_known) {
         if (!isLive(now, address)) {
             silent.push_back(address);
         }
     }
     for (const auto &it : m_seeds) {
-        if (it != m_ownAddress && !m_aliveAt.contains(it)) {
+        if (it != m_ownAddress && !m_known.contains(it)) {
             silent.push_back(it);
         }
     }
@@ -90,20 +93,33 @@
 {
     std::vector<PeerAge> peers;
     for (auto &it : chooseLive(now, n, random)) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_aliveAt.at(it));
-        peers.push_back({std::move(it), age});
+        const auto &peer = m_known.at(it);
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.aliveAt);
+        peers.push_back({std::move(it), age, peer.domain});
+    }
+    return peers;
+}
+
+std::vector<std::string>
+PeerList::peersInDomain(TimePoint now, std::string_view domain, std::chrono::milliseconds maxAge) const
+{
+    std::vector<std::string> peers;
+    for (const auto &[address, peer] : m_known) {
+        if (peer.domain == domain && now - peer.aliveAt <= maxAge) {
+            peers.push_back(address);
+        }
     }
     return peers;
 }
 
 std::size_t PeerList::knownCount() const
 {
-    return m_aliveAt.size();
+    return m_known.size();
 }
 
 std::size_t PeerList::liveCount(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_aliveAt.begin(), m_aliveAt.end(), [&](const auto &it) {
+    return static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto &it) {
         return isLive(now, it.first);
     }));
 }
--- a/src/peer_list.h
+++ b/src/peer_list.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace turmericline {
@@ -15,6 +16,7 @@
 {
     std::string address; ///< "IP:PORT".
     std::chrono::milliseconds age{};
+    std::string domain = {}; ///< Failure domain; empty if it is not known.
 
     bool operator==(const PeerAge &) const = default;
 };
@@ -40,15 +42,24 @@
     /** Returns up to @p n random peers that were alive recently, with their ages, to be sent to another gateway. */
     std::vector<PeerAge> sample(TimePoint now, std::size_t n, std::mt19937_64 &random) const;
     std::size_t liveCount(TimePoint now) const;
+    /** Peers in failure domain @p domain that were alive @p maxAge ago or later. */
+    std::vector<std::string>
+    peersInDomain(TimePoint now, std::string_view domain, std::chrono::milliseconds maxAge) const;
     /** Number of peers that are not forgotten yet, which includes those that a cut separates from this gateway. */
     std::size_t knownCount() const;
 
 private:
+    struct Peer
+    {
+        TimePoint aliveAt{};
+        std::string domain;
+    };
+
     bool isLive(TimePoint now, const std::string &address) const;
 
     std::string m_ownAddress;
     std::vector<std::string> m_seeds;
-    std::map<std::string, TimePoint> m_aliveAt; ///< By address.
+    std::map<std::string, Peer> m_known; ///< By address.
 };
 
 } // namespace turmericline
--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -30,7 +30,7 @@
 
 std::optional<StoreCall> StoreFeed::takeCall(TimePoint now, BootTime bootNow)
 {
-    if (m_isCalling || now < m_dueAt) {
+    if (m_isCalling || now < m_dueAt || (m_isPaused && !m_isReadRequested)) {
         return std::nullopt;
     }
     m_isCalling = true;
@@ -65,6 +65,37 @@
     fail(now, "the store's address has changed", random);
 }
 
+void StoreFeed::setPaused(bool isPaused)
+{
+    if (m_isPaused && !isPaused) {
+        // Changes were missed in the meantime. A read shows them at once, a watch only as long as there is a history.
+        restart();
+    }
+    m_isPaused = isPaused;
+}
+
+void StoreFeed::requestRead()
+{
+    if (!m_isReadRequested) {
+        m_isReadRequested = true;
+        restart();
+    }
+}
+
+void StoreFeed::restart()
+{
+    m_isCalling = false;
+    m_isWatching = false;
+    m_pages.clear();
+    m_snapshotRevision.reset();
+    m_dueAt = TimePoint::min();
+}
+
+void StoreFeed::setWatchWait(std::chrono::milliseconds wait)
+{
+    m_config.watchWait = wait;
+}
+
 void StoreFeed::setRereadSpread(std::chrono::milliseconds spread)
 {
     m_rereadSpread = spread;
@@ -163,6 +194,7 @@
     // The pages are not an atomic snapshot. The watch starts at the revision of the first page, so that it reports
     // changes made between two pages.
     const auto revision = *std::exchange(m_snapshotRevision, std::nullopt);
+    m_isReadRequested = false;
     confirm(m_calledAt);
     m_isWatching = !m_config.stalePollPeriod;
     if (m_config.stalePollPeriod) {
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -65,6 +65,12 @@
     bool onKnownEra(TimePoint now, std::optional<StoreEra> era, std::mt19937_64 &random);
     /** Called if calls go to another store from now on, whose eras have nothing to do with those of the former one. */
     void onStoreReplaced(TimePoint now, std::mt19937_64 &random);
+    /** Stops calls while another source has the changes. Afterwards the current call is void; all items are read again. */
+    void setPaused(bool isPaused);
+    /** Has all items read once although the feed is paused. The current call is void. */
+    void requestRead();
+    /** Sets the longest wait of a watch. */
+    void setWatchWait(std::chrono::milliseconds wait);
     /** Sets the time over which the feeds of all gateways that learn of a new era spread their reads. */
     void setRereadSpread(std::chrono::milliseconds spread);
     /** Called if the current call ended without a complete response. */
@@ -105,6 +111,7 @@
     }
 
 private:
+    void restart();
     void fail(TimePoint now, std::string reason, std::mt19937_64 &random);
     void beginEra(BootTime bootNow);
     /** Has the state not be confirmed before the settle time is over. */
@@ -118,6 +125,8 @@
     StoreFeedConfig m_config;
     bool m_isWatching = false; ///< Whether the next or current call is a watch rather than a read.
     bool m_isCalling = false;
+    bool m_isPaused = false;
+    bool m_isReadRequested = false; ///< A read is to be made, or finished, although the feed is paused.
     TimePoint m_dueAt{};
     BootTime m_calledAt{};
     std::chrono::milliseconds m_wait{}; ///< Wait of the last watch.
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -64,6 +64,26 @@
     m_feed.setRereadSpread(spread);
 }
 
+void StoreReader::setPaused(bool isPaused)
+{
+    if (m_isPaused && !isPaused) {
+        ++m_callNumber;
+    }
+    m_isPaused = isPaused;
+    m_feed.setPaused(isPaused);
+}
+
+void StoreReader::requestRead()
+{
+    ++m_callNumber;
+    m_feed.requestRead();
+}
+
+void StoreReader::setWatchWait(std::chrono::milliseconds wait)
+{
+    m_feed.setWatchWait(wait);
+}
+
 void StoreReader::tick(TimePoint now)
 {
     m_caller.tick(now);
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -38,6 +38,11 @@
     /** See StoreFeed::onKnownEra(). */
     void onKnownEra(TimePoint now, std::optional<StoreEra> era);
     void setRereadSpread(std::chrono::milliseconds spread);
+    /** See StoreFeed::setPaused(). */
+    void setPaused(bool isPaused);
+    /** See StoreFeed::requestRead(). */
+    void requestRead();
+    void setWatchWait(std::chrono::milliseconds wait);
 
     const StoreFeed &feed() const
     {
@@ -55,6 +60,7 @@
     std::mt19937_64 &m_random;
     HttpCaller m_caller;
     std::uint64_t m_callNumber = 0; ///< Number of the current call; replies to earlier ones are ignored.
+    bool m_isPaused = false;
     bool m_isOutageLogged = false; ///< The current outage has been logged.
 };
 
--- a/tests/unit_store_feed_test.cpp
+++ b/tests/unit_store_feed_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(invalidAnnouncementAddsNoServer);
     CPPUNIT_TEST(serverWithInvalidAnnouncementGetsNoRequests);
     CPPUNIT_TEST(newIncarnationStartsWithCleanState);
+    CPPUNIT_TEST(pausedFeedReadsAllAfterwards);
+    CPPUNIT_TEST(pausedFeedReadsOnceOnRequest);
     CPPUNIT_TEST_SUITE_END();
 
     GatewayDialect m_dialect = platformDialect();
@@ -72,6 +74,41 @@
     }
 
 public:
+    /** What changed while the feed was paused must not be missed, whatever call was in flight. */
+    void pausedFeedReadsAllAfterwards()
+    {
+        auto feed = makeFeed();
+        feed.takeCall(m_now, m_boot);
+        feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 7)), m_random);
+        m_now += 1s;
+        feed.takeCall(m_now, m_boot); // A watch.
+        feed.setPaused(true);
+        CPPUNIT_ASSERT(!feed.takeCall(m_now + 10s, m_boot));
+        feed.setPaused(false);
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/kv-range?prefix=servers/"), feed.takeCall(m_now, m_boot)->target);
+        // The first page of a read is not continued after a pause either.
+        CPPUNIT_ASSERT(!feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 7, true)), m_random));
+        feed.setPaused(true);
+        feed.setPaused(false);
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/kv-range?prefix=servers/"), feed.takeCall(m_now, m_boot)->target);
+        const auto change = feed.onAnswer(m_now, m_boot, reply(200, page(itemB, 9)), m_random);
+        CPPUNIT_ASSERT(change->isSnapshot && change->items.size() == 1 && change->position.revision == 9);
+    }
+
+    void pausedFeedReadsOnceOnRequest()
+    {
+        auto feed = makeFeed();
+        feed.setPaused(true);
+        CPPUNIT_ASSERT(!feed.takeCall(m_now, m_boot));
+        feed.requestRead();
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot));
+        feed.onFailure(m_now, "lost", m_random);
+        m_now += 1s;
+        CPPUNIT_ASSERT(feed.takeCall(m_now, m_boot));
+        CPPUNIT_ASSERT(feed.onAnswer(m_now, m_boot, reply(200, page(itemA, 7)), m_random));
+        CPPUNIT_ASSERT(!feed.takeCall(m_now + 10s, m_boot));
+    }
+
     void readsThenWatches()
     {
         auto feed = makeFeed();
