Believe a server that states that it leaves, or that it wants no requests for a time

Nothing read Server-Leaving or a server's Retry-After.

Leaving is a fact of the run in the table, as from the store: it only goes forward. It counts in signed answers and refusals, not in those of another server (421), and not for a later run. A wait of up to 60 s is kept apart from the pauses of the gateway; a shorter one does not end it. If all servers of a service wait, a refusal names the end of the first wait. Both are logged with the request. unit.exchange and fuzz.platform have the cases; they fail before this change.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace turmericline {
 
@@ -26,6 +27,8 @@
 constexpr double passBase = 5;
 /** A reported pace up to this is noise. */
 constexpr double maxNormalPace = 1.2;
+/** Limit of the time for which a server may want no requests, so that a wrong value does not withdraw it for good. */
+constexpr std::chrono::milliseconds maxRetryAfter{60'000};
 constexpr std::chrono::milliseconds minPause{250};
 constexpr std::chrono::milliseconds maxPause{4'000};
 /** A full server has capacity again after about one request. */
@@ -123,6 +126,13 @@
     return it == m_backends.end() ? nullptr : it->second.get();
 }
 
+/** Returns nothing if the server has started again since. */
+Backend *BackendTable::findRun(const ServerIncarnation &server)
+{
+    auto *it = findMutable(server.id);
+    return it != nullptr && it->record.startTimeMs == server.startTimeMs ? it : nullptr;
+}
+
 double BackendTable::load(TimePoint now, const Backend &backend)
 {
     const std::chrono::duration<double> age = now - backend.loadAt;
@@ -158,7 +168,7 @@
     bool isFresh = true;
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
-        if (!isOpen(*it) || it->pausedUntil > now || wasTried) {
+        if (!isOpen(*it) || it->pausedUntil > now || it->waitsUntil > now || wasTried) {
             continue;
         }
         const bool isKnown = it->groupLoadAt + freshLoadTime > now;
@@ -301,4 +311,36 @@
     }
 }
 
+bool BackendTable::onLeaving(const ServerIncarnation &server)
+{
+    auto *it = findRun(server);
+    return it != nullptr && !std::exchange(it->record.isLeaving, true);
+}
+
+void BackendTable::onRetryAfter(TimePoint now, const ServerIncarnation &server, std::chrono::milliseconds time)
+{
+    if (auto *it = findRun(server)) {
+        it->waitsUntil = std::max(it->waitsUntil, now + std::min(time, maxRetryAfter));
+    }
+}
+
+std::optional<TimePoint> BackendTable::waitsUntil(TimePoint now, std::string_view service) const
+{
+    const auto servers = m_services.find(service);
+    std::optional<TimePoint> first;
+    if (servers == m_services.end()) {
+        return first;
+    }
+    for (const auto &it : servers->second) {
+        if (!isOpen(*it) || (it->pausedUntil > now && it->isDown)) {
+            continue;
+        }
+        if (it->waitsUntil <= now) {
+            return std::nullopt;
+        }
+        first = first ? std::min(*first, it->waitsUntil) : it->waitsUntil;
+    }
+    return first;
+}
+
 } // namespace turmericline
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -68,6 +68,7 @@
     TimePoint pausedUntil{}; ///< The server gets no requests before this time.
     bool isWithheld = false; ///< Its last announcement is invalid, so it gets no requests until a valid one.
     bool isDown = false; ///< The pause was caused by a fault rather than a lack of capacity.
+    TimePoint waitsUntil{}; ///< The server wants no requests of this gateway before this time.
 };
 
 /** Why a server is paused. */
@@ -127,6 +128,12 @@
     void onSuccess(std::string_view id);
     void onFault(TimePoint now, std::string_view id, BackendFault fault);
     void onLoad(TimePoint now, std::string_view id, BackendLoad load);
+    /** Called if the server states in an answer that it leaves. Returns whether that is new; it lasts for that run. */
+    bool onLeaving(const ServerIncarnation &server);
+    /** Called if the server wants no requests for @p time. A shorter time than one still running changes nothing. */
+    void onRetryAfter(TimePoint now, const ServerIncarnation &server, std::chrono::milliseconds time);
+    /** If all servers that could take requests of the service want none, returns when the first one wants some again. */
+    std::optional<TimePoint> waitsUntil(TimePoint now, std::string_view service) const;
 
     /** Names of all groups of ranks. */
     std::vector<std::string> groups() const;
@@ -145,6 +152,7 @@
     double score(TimePoint now, const Backend &backend) const;
     static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
+    Backend *findRun(const ServerIncarnation &server);
 
     std::string m_domain;
     std::unordered_map<std::string, std::shared_ptr<Backend>, StringHash, std::equal_to<>> m_backends;
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -146,6 +146,9 @@
     if (fields.load) {
         m_context.backends.onLoad(now, m_server->id, *fields.load);
     }
+    if (fields.isSigned || fields.isNotRun) {
+        applyStatements(now, fields);
+    }
     if (fields.isNotRun) {
         const auto fault = fields.isGroupFault    ? BackendFault::Stalled
                            : fields.isMisdirected ? BackendFault::Misdirected
@@ -189,6 +192,18 @@
     return actions;
 }
 
+/** Other bytes than an answer of the server could hold the same header fields, so @p fields must be those of one. */
+void Exchange::applyStatements(TimePoint now, const ResponseFields &fields)
+{
+    const bool isLeaving = fields.isLeaving && m_context.backends.onLeaving(*m_server);
+    if (fields.retryAfter) {
+        m_context.backends.onRetryAfter(now, *m_server, *fields.retryAfter);
+    }
+    if (isLeaving || fields.retryAfter) {
+        m_summary.statements.push_back({*m_server, isLeaving, fields.retryAfter});
+    }
+}
+
 void Exchange::commit(TimePoint now, std::optional<std::uint64_t> length, ExchangeActions &actions)
 {
     m_isCommitted = true;
@@ -342,6 +357,11 @@
     const double jitter = std::uniform_real_distribution<double>(0.8, 1.0)(m_context.random);
     const auto maxDelay = std::chrono::duration_cast<std::chrono::milliseconds>(remaining * maxRetryAfterShare);
     const auto busyDelay = std::max(minRetryAfter, m_request.rule->latencyTarget);
+    if (const auto end = m_context.backends.waitsUntil(now, m_request.service)) {
+        // The servers have said when they want requests again, so the jitter only adds to that.
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>((*end - now) / jitter);
+        return std::clamp(wait, 1ms, std::max(maxDelay, 1ms));
+    }
     const auto baseDelay = m_context.backends.isDown(now, m_request.service) ? maxDelay : std::min(busyDelay, maxDelay);
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(baseDelay * jitter), 1ms);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -64,6 +64,7 @@
         std::string reason; ///< Of the last failure.
         std::optional<std::chrono::milliseconds> firstByte;
         std::vector<FailedAttempt> failedAttempts;
+        std::vector<ServerStatement> statements;
         bool hasClearedSuspicion = false; ///< The request was suspected of crashing servers, and has completed.
     };
     const Summary &summary() const
@@ -80,6 +81,7 @@
     TimePoint effectiveDeadline() const;
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
+    void applyStatements(TimePoint now, const ResponseFields &fields);
     void endAttempt(TimePoint now, const AttemptFailure &failure);
     void abandonAttempt(TimePoint now, std::string reason, ExchangeActions &actions);
     void recordFailure(TimePoint now, Verdict verdict, std::optional<BackendFault> fault, std::string reason);
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -55,6 +55,14 @@
     std::chrono::milliseconds silence{}; ///< Time since the last byte from the server, or since the start.
 };
 
+/** What a server stated about itself in an answer, for logs. */
+struct ServerStatement
+{
+    ServerIncarnation server;
+    bool isLeaving = false; ///< Stated for the first time.
+    std::optional<std::chrono::milliseconds> retryAfter;
+};
+
 /** Sends the request to a backend server. */
 struct StartAttempt
 {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -61,6 +61,18 @@
     }
 }
 
+void logStatements(const Exchange &exchange)
+{
+    for (const auto &it : exchange.summary().statements) {
+        logEvent(LogLevel::Info,
+                 it.isLeaving ? "server states that it leaves" : "server wants no requests for a time",
+                 {{"request", exchange.request().caller.requestId},
+                  {"server", it.server.id},
+                  {"server_start_ms", it.server.startTimeMs},
+                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0}});
+    }
+}
+
 } // namespace
 
 Gateway::Gateway(asio::io_context &io, const GatewaySettings &settings, GatewayDialect dialect)
@@ -228,6 +240,7 @@
     const auto total = std::chrono::steady_clock::now() - request.arrived;
     m_metrics.recordExchange(call.exchange(), total);
     logFailedAttempts(call.exchange());
+    logStatements(call.exchange());
     logEvent(LogLevel::Info,
              "request ended",
              {{"request", request.caller.requestId},
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -42,6 +42,8 @@
     bool isNotRun = false; ///< The server guarantees that the request has not run and will not run.
     bool isMisdirected = false; ///< The address now belongs to a server other than the expected one.
     bool isGroupFault = false; ///< Another rank of the server's group failed.
+    bool isLeaving = false; ///< The server that answers takes no new requests soon.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< The server wants no requests of this gateway for so long.
     std::optional<BackendLoad> load;
     std::optional<std::chrono::milliseconds> keepAlive; ///< Time after which the server closes an idle connection.
 };
--- a/tests/fuzz_platform_test.cpp
+++ b/tests/fuzz_platform_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(parsesServers);
     CPPUNIT_TEST(setsAndStripsHeaders);
     CPPUNIT_TEST(parsesResponses);
+    CPPUNIT_TEST(parsesRetryAfter);
     CPPUNIT_TEST(readsRanksAndWritesOrders);
     CPPUNIT_TEST(routesByConfigurationAndKey);
     CPPUNIT_TEST(codecRoundTrips);
@@ -149,6 +150,34 @@
         head.headers = {{"Replica-Load", "x"}, {"Keep-Alive", "timeout="}, {"Replica-Signature", "s"}};
         const auto other = m_dialect.readResponseFields(head);
         CPPUNIT_ASSERT(other.isNotRun && other.isMisdirected && other.isSigned && !other.load && !other.keepAlive);
+        // The answer of another server at the address tells nothing about the expected one.
+        head.headers = {{"Server-Leaving", "1"}, {"Retry-After", "3"}};
+        CPPUNIT_ASSERT(!m_dialect.readResponseFields(head).isLeaving);
+        CPPUNIT_ASSERT(!m_dialect.readResponseFields(head).retryAfter);
+        head.status = 200;
+        CPPUNIT_ASSERT(m_dialect.readResponseFields(head).isLeaving);
+        CPPUNIT_ASSERT(!m_dialect.readResponseFields(head).retryAfter);
+        for (const char *it : {"0", "", "true", "11", "1 1"}) {
+            head.headers = {{"Server-Leaving", it}};
+            CPPUNIT_ASSERT_MESSAGE(it, !m_dialect.readResponseFields(head).isLeaving);
+        }
+    }
+
+    /** A value that is not a time must not withdraw a server, and a huge one must not overflow. */
+    void parsesRetryAfter()
+    {
+        HttpHead head;
+        head.status = 503;
+        const auto read = [&](const char *text) {
+            head.headers = {{"Retry-After", text}};
+            return m_dialect.readResponseFields(head).retryAfter;
+        };
+        CPPUNIT_ASSERT(read("2") == 2s);
+        CPPUNIT_ASSERT(read("0.25") == 250ms);
+        CPPUNIT_ASSERT(read("1e300") == 24h);
+        for (const char *it : {"", "-1", "0", "nan", "x", "Fri, 04 Dec 2026 12:00:00 GMT", "1s"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, !read(it));
+        }
     }
 
     void readsRanksAndWritesOrders()
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 using namespace turmericline;
 using namespace std::chrono_literals;
 
@@ -9,6 +11,32 @@
  * Guards against running an unsafe request twice, which a retry after a partial send or a lost response would cause,
  * and against reporting "not run" for a request that a server may have run.
  */
+/** Sends whole requests, to see which servers get them. */
+struct StatementFixture : ExchangeFixture
+{
+    /** Sends a request to a server, which answers it with @p status and @p fields. Returns the server. */
+    std::string answerOne(int status, const ResponseFields &fields)
+    {
+        auto exchange = make();
+        const auto actions = exchange.start(now);
+        const auto *start = find<StartAttempt>(actions);
+        const auto server = start == nullptr ? std::string() : start->server;
+        exchange.onHead(now, head(status), fields);
+        exchange.onEnd(now);
+        return server;
+    }
+
+    /** Servers that got one of @p n requests. */
+    std::set<std::string> serversOf(int n)
+    {
+        std::set<std::string> servers;
+        for (int i = 0; i < n; ++i) {
+            servers.insert(answerOne(200, signedFields()));
+        }
+        return servers;
+    }
+};
+
 class ExchangeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ExchangeTest);
@@ -30,6 +58,10 @@
     CPPUNIT_TEST(requestThatCrashesThirdServerIsNotRetried);
     CPPUNIT_TEST(completedRequestIsNoLongerSuspected);
     CPPUNIT_TEST(unansweredAttemptsAreReported);
+    CPPUNIT_TEST(serverThatStatesThatItLeavesGetsNoRequests);
+    CPPUNIT_TEST(forgedStatementIsIgnored);
+    CPPUNIT_TEST(serverThatAsksToWaitGetsNoRequests);
+    CPPUNIT_TEST(callersAreToldWhenTheFirstServerWantsRequests);
     CPPUNIT_TEST_SUITE_END();
 
     ExchangeFixture m_fixture;
@@ -269,6 +301,85 @@
         late.onCallerDisconnect(m_fixture.now + 1s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).size());
     }
+
+    void serverThatStatesThatItLeavesGetsNoRequests()
+    {
+        StatementFixture it;
+        auto fields = it.signedFields();
+        fields.isLeaving = true;
+        const auto leaving = it.answerOne(200, fields);
+        CPPUNIT_ASSERT(it.backends.find(leaving)->record.isLeaving);
+        CPPUNIT_ASSERT(!it.serversOf(50).contains(leaving));
+        // A request that waits for its answer is not sent there a second time either.
+        auto refused = it.refusal();
+        refused.isLeaving = true;
+        const auto second = it.answerOne(503, refused);
+        it.now += 1s;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.serversOf(50).size());
+        // Another run of the same server has said nothing.
+        auto record = it.backends.find(second)->record;
+        record.isLeaving = false;
+        record.startTimeMs = 2;
+        it.backends.upsert(record);
+        CPPUNIT_ASSERT(it.serversOf(50).contains(second));
+    }
+
+    /** Bytes that are no answer of the server, and an answer to an earlier run of it. */
+    void forgedStatementIsIgnored()
+    {
+        StatementFixture it;
+        ResponseFields unsignedFields;
+        unsignedFields.isLeaving = true;
+        unsignedFields.retryAfter = 10s;
+        it.answerOne(503, unsignedFields);
+        auto exchange = it.make();
+        const auto actions = exchange.start(it.now);
+        const auto server = it.find<StartAttempt>(actions)->server;
+        auto record = it.backends.find(server)->record;
+        record.startTimeMs = 2;
+        it.backends.upsert(record);
+        auto late = it.signedFields();
+        late.isLeaving = true;
+        exchange.onHead(it.now, it.head(200), late);
+        it.now += 10s;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, it.serversOf(100).size());
+    }
+
+    void serverThatAsksToWaitGetsNoRequests()
+    {
+        StatementFixture it;
+        auto fields = it.refusal();
+        fields.retryAfter = 3s;
+        const auto waiting = it.answerOne(503, fields);
+        it.now += 2'900ms;
+        CPPUNIT_ASSERT(!it.serversOf(50).contains(waiting));
+        // A shorter time in a late answer does not end the longer one, and a huge one is bounded.
+        it.backends.onRetryAfter(it.now, {waiting, 0, "d1"}, 10ms);
+        it.now += 50ms;
+        CPPUNIT_ASSERT(!it.serversOf(50).contains(waiting));
+        it.now += 60ms;
+        CPPUNIT_ASSERT(it.serversOf(50).contains(waiting));
+        it.backends.onRetryAfter(it.now, {waiting, 0, "d1"}, 24h);
+        it.now += 59s;
+        CPPUNIT_ASSERT(!it.serversOf(50).contains(waiting));
+        it.now += 2s;
+        CPPUNIT_ASSERT(it.serversOf(50).contains(waiting));
+    }
+
+    void callersAreToldWhenTheFirstServerWantsRequests()
+    {
+        StatementFixture it;
+        it.backends.onRetryAfter(it.now, {"a", 0, "d1"}, 5s);
+        it.backends.onRetryAfter(it.now, {"b", 0, "d1"}, 800ms);
+        it.backends.onRetryAfter(it.now, {"c", 0, "d1"}, 900ms);
+        auto exchange = it.make();
+        const auto actions = exchange.start(it.now);
+        const auto *reply = it.find<Reply>(actions);
+        CPPUNIT_ASSERT_EQUAL(503, reply->status);
+        CPPUNIT_ASSERT(*reply->retryAfter >= 800ms && *reply->retryAfter <= 1'001ms);
+        it.now += 1s;
+        CPPUNIT_ASSERT(!it.serversOf(50).contains("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeTest);
