End answers without progress or without an end

A stream counted as alive with each byte, so one that sent a byte now and then and never an event lasted until the end of its request's time; an event without an end was kept in memory up to 64 MiB, and searched for its end from the start with each read. Informational answers, and answers to other requests, had no bound before the expected one, and neither had the bodies that agents, gateways and the store send.

Progress of a stream is now an event. An event may take 1 MiB, what comes before the head of an answer 1 MiB, an answer to a call 16 MiB. Heads, trailers and extensions of chunks were bounded by the parser (64 and 80 KiB) before.

--- a/src/backend_connection.cpp
+++ b/src/backend_connection.cpp
@@ -14,6 +14,8 @@
 /** Time to read the rest of a response that is discarded. */
 constexpr std::chrono::milliseconds detachTimeout{500};
 constexpr int firstFinalStatus = 200;
+/** Informational responses and those to other requests may take as much before the expected one. */
+constexpr std::size_t maxBytesBeforeHead = 1U << 20U;
 
 } // namespace
 
@@ -33,6 +35,7 @@
     m_isHeadAccepted = false;
     m_hasSkipped = false;
     m_isSkipping = false;
+    m_bytesBeforeHead = 0;
     m_decoder.reset();
     m_since = now;
     if (m_state == State::Idle) {
@@ -124,11 +127,17 @@
         return;
     }
     while (!bytes.empty() && (m_state == State::Busy || m_state == State::Detached)) {
-        bytes.remove_prefix(m_decoder.feed(bytes));
+        const auto n = m_decoder.feed(bytes);
+        bytes.remove_prefix(n);
+        m_bytesBeforeHead += m_isHeadAccepted ? 0 : n;
         if (m_decoder.fault() != HttpFault::None) {
             fail(BackendFault::Broken, "the answer is malformed");
             return;
         }
+        if (m_bytesBeforeHead > maxBytesBeforeHead) {
+            fail(BackendFault::Broken, "bytes without end before the answer");
+            return;
+        }
         const bool isInterim = m_decoder.hasHead() && m_decoder.head().status < firstFinalStatus;
         if (m_decoder.hasHead() && !isInterim && !m_isHeadAccepted && !m_isSkipping && m_state == State::Busy) {
             const auto handlers = m_handlers;
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -112,6 +112,7 @@
     bool m_isWaitingWritable = false;
     bool m_isSkipping = false; ///< The response being read belongs to another request.
     bool m_hasSkipped = false;
+    std::size_t m_bytesBeforeHead = 0; ///< Of the current request: received before the head of its final response.
     bool m_isHeadAccepted = false; ///< The head of the expected response has been passed on.
     std::array<char, 8192> m_buffer{};
 };
--- a/src/event_splitter.h
+++ b/src/event_splitter.h
@@ -25,6 +25,12 @@
         return !m_partial.empty();
     }
 
+    /** Number of bytes of the incomplete event. */
+    std::size_t partialBytes() const
+    {
+        return m_partial.size();
+    }
+
     /** Id of the last event returned by push(). */
     std::optional<std::uint64_t> lastId() const
     {
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -10,11 +10,13 @@
 
 /** Responses up to this size are buffered until they are complete, so that the request can be retried if one breaks. */
 constexpr std::size_t maxBufferedBodyBytes = 1U << 20U;
+/** A longer event is no event, but bytes without an end. */
+constexpr std::size_t maxEventBytes = 1U << 20U;
 /** Attempts that do not reach a server cause no load, so they have a limit of their own beside that of the route. */
 constexpr std::uint32_t maxUnreachedAttempts = 3;
 /** No attempt is started with less time left than this, since it would be cancelled almost at once. */
 constexpr std::chrono::milliseconds minAttemptTime{20};
-/** An attempt fails if the server sends nothing for this multiple of the latency target. */
+/** An attempt fails if the server makes no progress for this multiple of the latency target. */
 constexpr int silenceTimeoutFactor = 4;
 /** Lower bound for streams: a group that has lost a rank stalls for 1.5 s before it reports the fault. */
 constexpr std::chrono::milliseconds minStreamSilenceTimeout{1'900};
@@ -119,7 +121,7 @@
     }
     m_server = pick->server;
     m_attemptAt = now;
-    m_lastBytesAt = now;
+    m_lastProgressAt = now;
     m_body.clear();
     m_tried.push_back(pick->server.id);
     m_context.backends.onStart(pick->server.id);
@@ -142,7 +144,7 @@
     if (m_isEnded || !m_server) {
         return actions;
     }
-    m_lastBytesAt = now;
+    m_lastProgressAt = now;
     if (fields.load) {
         m_context.backends.onLoad(now, m_server->id, *fields.load);
     }
@@ -219,18 +221,24 @@
     if (m_isEnded || !m_server || !m_head) {
         return actions;
     }
-    m_lastBytesAt = now;
     if (isStream() && m_head->status == 200) {
         auto events = m_events.push(bytes);
+        if (m_events.partialBytes() > maxEventBytes) {
+            actions.emplace_back(StopAttempt{});
+            retryOrGiveUp(now, {Verdict::MayHaveRun, BackendFault::Broken, "an event that does not end"}, actions);
+            return actions;
+        }
         if (events.empty()) {
             return actions;
         }
+        m_lastProgressAt = now;
         if (!m_isCommitted) {
             commit(now, std::nullopt, actions);
         }
         actions.emplace_back(SendBody{std::move(events)});
         return actions;
     }
+    m_lastProgressAt = now;
     m_body.append(bytes);
     if (m_body.size() > maxBufferedBodyBytes) {
         if (!m_isCommitted) {
@@ -308,7 +316,7 @@
     const auto since = [now](TimePoint start) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
     };
-    const auto silence = since(m_lastBytesAt);
+    const auto silence = since(m_lastProgressAt);
     if (verdict == Verdict::MayHaveRun && (fault || silence >= minSuspectSilence)) {
         m_context.crashes.onUnanswered(now, *m_server, m_request.fingerprint);
     }
@@ -398,7 +406,7 @@
         giveUp(now, actions);
         return actions;
     }
-    const bool isSilent = m_server && now - m_lastBytesAt > silenceTimeout();
+    const bool isSilent = m_server && now - m_lastProgressAt > silenceTimeout();
     if (isSilent && m_request.rule->isIdempotent()) {
         actions.emplace_back(StopAttempt{});
         retryOrGiveUp(now, {Verdict::MayHaveRun, BackendFault::Unreachable, "the server fell silent"}, actions);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -102,7 +102,7 @@
     std::optional<ServerIncarnation> m_server; ///< Server of the current attempt.
     std::uint32_t m_unreachedAttempts = 0; ///< Attempts that did not reach a server.
     TimePoint m_attemptAt{};
-    TimePoint m_lastBytesAt{};
+    TimePoint m_lastProgressAt{}; ///< Start of the attempt, head of the answer, or last bytes; of a stream, last event.
     std::optional<SendHead> m_head; ///< Head of the accepted response.
     std::string m_body; ///< Received part of the body that has not been forwarded yet.
     bool m_isCommitted = false; ///< The head has been sent to the caller.
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -52,7 +52,7 @@
     std::optional<BackendFault> fault; ///< Nothing if the gateway stopped the attempt for another reason.
     std::string reason;
     std::chrono::milliseconds duration{};
-    std::chrono::milliseconds silence{}; ///< Time since the last byte from the server, or since the start.
+    std::chrono::milliseconds silence{}; ///< Time since the server last made progress, or since the start.
 };
 
 /** What a server stated about itself in an answer, for logs. */
--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -6,6 +6,13 @@
 
 namespace turmericline {
 
+namespace {
+
+/** The largest response is a page of the store, which the platform limits to about 1 MB. */
+constexpr std::size_t maxReplyBytes = 16U << 20U;
+
+} // namespace
+
 HttpCaller::HttpCaller(asio::io_context &io)
     : m_io(io)
     , m_pool(io)
@@ -65,6 +72,10 @@
     };
     handlers.onBody = [call](const std::string &bytes) {
         call->reply.body.append(bytes);
+        if (call->reply.body.size() > maxReplyBytes) {
+            call->connection->stop();
+            end(*call, std::nullopt, "the answer is too long");
+        }
     };
     handlers.onEnd = [call] {
         end(*call, std::move(call->reply), {});
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -12,7 +12,10 @@
 
 namespace turmericline {
 
-/** HTTP client for small calls with a time limit; buffers the whole response and reuses connections. */
+/**
+ * HTTP client for small calls with a time limit; buffers the whole response and reuses connections. A response of more
+ * than 16 MiB counts as an error.
+ */
 class HttpCaller
 {
 public:
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(requestThatCrashesThirdServerIsNotRetried);
     CPPUNIT_TEST(completedRequestIsNoLongerSuspected);
     CPPUNIT_TEST(unansweredAttemptsAreReported);
+    CPPUNIT_TEST(streamWithoutEventsEndsAndSlowOneDoesNot);
+    CPPUNIT_TEST(eventWithoutEndIsABrokenAnswer);
     CPPUNIT_TEST(serverThatStatesThatItLeavesGetsNoRequests);
     CPPUNIT_TEST(forgedStatementIsIgnored);
     CPPUNIT_TEST(serverThatAsksToWaitGetsNoRequests);
@@ -302,6 +304,55 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.crashes.takeServersToProbe(m_fixture.now + 2s).size());
     }
 
+    /** A byte now and then kept a stalled stream until the end of its time; a slow one must go on. */
+    void streamWithoutEventsEndsAndSlowOneDoesNot()
+    {
+        ExchangeFixture it;
+        it.rule.kind = RouteKind::Stream;
+        it.rule.isResumable = true;
+        it.rule.timeout = 60s;
+        for (const bool isStalled : {true, false}) {
+            auto exchange = it.make();
+            const auto server = ExchangeFixture::find<StartAttempt>(exchange.start(it.now))->server;
+            exchange.onHead(it.now, ExchangeFixture::head(200), ExchangeFixture::signedFields());
+            std::size_t stops = 0;
+            for (int n = 1; n <= 30; ++n) {
+                it.now += 150ms;
+                // The slow server sends an event every 1.5 s, a byte or two at a time; the other one never ends one.
+                const auto event = "id: " + std::to_string(n) + "\n\n";
+                const bool isEnd = !isStalled && n % 10 == 0;
+                exchange.onBody(it.now, isEnd ? event : ":");
+                const auto actions = exchange.onTick(it.now);
+                if (ExchangeFixture::find<StopAttempt>(actions) != nullptr) {
+                    ++stops;
+                    CPPUNIT_ASSERT(server != ExchangeFixture::find<StartAttempt>(actions)->server);
+                    break;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(isStalled ? std::size_t{1} : std::size_t{0}, stops);
+        }
+    }
+
+    void eventWithoutEndIsABrokenAnswer()
+    {
+        ExchangeFixture it;
+        it.rule.kind = RouteKind::Stream;
+        it.rule.isResumable = true;
+        auto exchange = it.make();
+        exchange.start(it.now);
+        exchange.onHead(it.now, ExchangeFixture::head(200), ExchangeFixture::signedFields());
+        const std::string block(64 << 10, 'x');
+        std::size_t sent = 0;
+        auto actions = exchange.onBody(it.now, block);
+        while (actions.empty() && sent < (4U << 20U)) {
+            sent += block.size();
+            actions = exchange.onBody(it.now, block);
+        }
+        CPPUNIT_ASSERT(ExchangeFixture::find<StopAttempt>(actions) != nullptr);
+        CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(actions) != nullptr);
+        CPPUNIT_ASSERT(exchange.summary().failedAttempts.front().fault == BackendFault::Broken);
+    }
+
     void serverThatStatesThatItLeavesGetsNoRequests()
     {
         StatementFixture it;
