Log many changes of servers as numbers

On the large site, 149 gateways wrote 37,530 lines 'server announced' and 30,355 lines 'server changed' in 30 s, 20 MB: their number grows with the product of gateways and servers.

A change of more than 16 servers, such as a full read, is one line with the numbers; single changes have a budget of 2 lines a second after a burst of 32, and what is left out is in the numbers of the next line, at most one a second. Lines of requests have no budget. The test with 4,200 changes in 20 s fails before.

--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -16,6 +16,13 @@
 constexpr std::chrono::milliseconds expiryTime{5'000};
 /** Limit of keys that are remembered so that each invalid announcement is logged once. */
 constexpr std::size_t maxRejected = 1'000;
+/** A change of more servers, such as a full read, is logged as numbers only. */
+constexpr std::size_t maxSingleChanges = 16;
+/** Lines for single changes: those of a small fleet are all logged, those of a large one would fill the logs. */
+constexpr double singleLinesPerSecond = 2;
+constexpr double singleLineBurst = 32;
+constexpr double countLinesPerSecond = 1;
+constexpr double countLineBurst = 4;
 /** Limit of servers of which an ignored older state is logged once instead of each time. */
 constexpr std::size_t maxContradicted = 1'000;
 
@@ -24,6 +31,8 @@
 BackendRegistry::BackendRegistry(const GatewayDialect &dialect, BackendTable &table)
     : m_dialect(dialect)
     , m_table(table)
+    , m_logBudget(singleLinesPerSecond, singleLineBurst)
+    , m_countBudget(countLinesPerSecond, countLineBurst)
 {
 }
 
@@ -36,6 +45,7 @@
         m_holdsUntil = now + expiryTime;
     }
     m_position = change.position;
+    m_isBulk = change.items.size() > maxSingleChanges;
     std::size_t kept = 0;
     std::set<std::string> present;
     for (const auto &it : change.items) {
@@ -46,9 +56,16 @@
         kept += onAnnouncement(now, it) ? 1 : 0;
         present.insert(it.key);
     }
-    if (!change.isSnapshot) {
-        return kept;
+    if (change.isSnapshot) {
+        removeMissing(now, present);
     }
+    m_isBulk = false;
+    logCounts(now);
+    return kept;
+}
+
+void BackendRegistry::removeMissing(TimePoint now, const std::set<std::string> &present)
+{
     std::erase_if(m_held, [&present](const auto &it) {
         return !present.contains(it.first);
     });
@@ -61,7 +78,28 @@
     for (const auto &it : missing) {
         removeOrDelay(now, it);
     }
-    return kept;
+}
+
+bool BackendRegistry::isLoggedSingly(TimePoint now)
+{
+    return !m_isBulk && m_logBudget.take(now);
+}
+
+void BackendRegistry::logCounts(TimePoint now)
+{
+    const auto &n = m_unlogged;
+    if ((n.announced == 0 && n.changed == 0 && n.gone == 0) || !m_countBudget.take(now)) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "several servers changed",
+             {{"announced", n.announced},
+              {"changed", n.changed},
+              {"gone", n.gone},
+              {"servers", m_idOfKey.size()},
+              {"era", m_position.era.value_or(0)},
+              {"revision", m_position.revision}});
+    m_unlogged = {};
 }
 
 bool BackendRegistry::onAnnouncement(TimePoint now, const StoreItem &item)
@@ -81,7 +119,7 @@
     const bool isInTable = m_table.find(record.id) != nullptr;
     const bool isKept = isInTable ? mergeKnown(record, *known) : holdIfRemoved(now, item.key, record);
     if (!m_held.contains(item.key)) {
-        use(item.key, std::move(record));
+        use(now, item.key, std::move(record));
     }
     return isKept;
 }
@@ -142,10 +180,13 @@
     return true;
 }
 
-void BackendRegistry::use(const std::string &key, BackendRecord record)
+void BackendRegistry::use(TimePoint now, const std::string &key, BackendRecord record)
 {
     const auto *known = m_table.find(record.id);
-    if (known == nullptr || known->record != record) {
+    const bool isChange = known == nullptr || known->record != record;
+    if (isChange && !isLoggedSingly(now)) {
+        ++(known == nullptr ? m_unlogged.announced : m_unlogged.changed);
+    } else if (isChange) {
         logEvent(LogLevel::Info,
                  known == nullptr ? "server announced" : "server changed",
                  {{"server", record.id},
@@ -185,7 +226,11 @@
         m_delayedRemovals.try_emplace(key, m_delaysRemovalsUntil);
         return;
     }
-    logEvent(LogLevel::Info, "server gone", {{"server", it->second}});
+    if (isLoggedSingly(now)) {
+        logEvent(LogLevel::Info, "server gone", {{"server", it->second}});
+    } else {
+        ++m_unlogged.gone;
+    }
     if (const auto *known = m_table.find(it->second)) {
         m_removed.add(now, known->record, m_position.era);
     }
@@ -213,10 +258,11 @@
         }
         m_contradicted.erase(it->second.record.id);
         m_removed.erase(it->second.record.id);
-        use(it->first, std::move(it->second.record));
+        use(now, it->first, std::move(it->second.record));
         it = m_held.erase(it);
     }
     m_removed.expire(now);
+    logCounts(now);
 }
 
 } // namespace turmericline
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_table.h"
+#include "event_budget.h"
 #include "removed_servers.h"
 #include "store_feed.h"
 
@@ -41,6 +42,14 @@
         TimePoint dueAt{};
     };
 
+    /** Changes that are logged as numbers only. */
+    struct ChangeCounts
+    {
+        std::size_t announced = 0;
+        std::size_t changed = 0;
+        std::size_t gone = 0;
+    };
+
     /** Returns whether a known fact was kept against the announcement. */
     bool onAnnouncement(TimePoint now, const StoreItem &item);
     /** Gives the server with this invalid announcement no requests, if it is known. */
@@ -51,9 +60,12 @@
     bool mergeKnown(BackendRecord &record, const BackendRecord &known);
     /** Holds the announcement if the server was gone before this era; returns whether a known fact was kept against it. */
     bool holdIfRemoved(TimePoint now, const std::string &key, BackendRecord &record);
-    void use(const std::string &key, BackendRecord record);
+    void use(TimePoint now, const std::string &key, BackendRecord record);
+    bool isLoggedSingly(TimePoint now);
+    void logCounts(TimePoint now);
     void logKept(const BackendRecord &record, std::string_view fact);
     void removeOrDelay(TimePoint now, const std::string &key);
+    void removeMissing(TimePoint now, const std::set<std::string> &present);
 
     const GatewayDialect &m_dialect;
     BackendTable &m_table;
@@ -64,6 +76,10 @@
     std::set<std::string> m_rejected; ///< Keys with an invalid announcement that has been logged.
     std::set<std::string> m_contradicted; ///< Servers of which an older state was ignored and logged.
     StorePosition m_position; ///< After the last change.
+    EventBudget m_logBudget; ///< For single changes of servers.
+    EventBudget m_countBudget; ///< For lines with the numbers of the other changes.
+    bool m_isBulk = false; ///< The present change is one of many servers.
+    ChangeCounts m_unlogged; ///< Changes that no line has told of yet.
     TimePoint m_delaysRemovalsUntil{};
     TimePoint m_holdsUntil{}; ///< Servers that were gone before this era are not used again before this time.
 };
--- a/tests/gossip_simulation.h
+++ b/tests/gossip_simulation.h
@@ -123,8 +123,11 @@
     {
         auto &it = m_gateways[i];
         it.suspects = std::make_unique<SuspectTable>(SuspectSettings{});
-        it.gossip = std::make_unique<Gossip>(
-            addressOf(i), "d" + std::to_string(i % domainCount), std::vector{addressOf(0), addressOf(3), addressOf(6)}, *it.suspects, m_random);
+        it.gossip = std::make_unique<Gossip>(addressOf(i),
+                                             "d" + std::to_string(i % domainCount),
+                                             std::vector{addressOf(0), addressOf(3), addressOf(6)},
+                                             *it.suspects,
+                                             m_random);
         it.startedAt = m_now;
     }
 
--- a/tests/unit_backend_registry_test.cpp
+++ b/tests/unit_backend_registry_test.cpp
@@ -1,8 +1,12 @@
 #include "backend_registry.h"
+#include "log.h"
 #include "platform_dialect.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <iostream>
+#include <sstream>
+
 using namespace turmericline;
 using namespace std::chrono_literals;
 
@@ -21,6 +25,7 @@
     CPPUNIT_TEST(serverThatLeftAndIsGoneStaysLeaving);
     CPPUNIT_TEST(removedServerMayComeBackInTheSameEra);
     CPPUNIT_TEST(serverThatCopyLacksIsKeptUntilItAnnouncesItselfAgain);
+    CPPUNIT_TEST(burstOfChangesIsLoggedAsNumbers);
     CPPUNIT_TEST_SUITE_END();
 
     GatewayDialect m_dialect = platformDialect();
@@ -43,6 +48,24 @@
         return {"servers/" + id, "", true};
     }
 
+    /** Returns the lines logged by @p action. */
+    template<typename Action>
+    static std::vector<nlohmann::json> linesOf(Action action)
+    {
+        std::ostringstream out;
+        auto *former = std::cerr.rdbuf(out.rdbuf());
+        initLog(LogLevel::Info, "test");
+        action();
+        initLog(LogLevel::Info, "");
+        std::cerr.rdbuf(former);
+        std::vector<nlohmann::json> lines;
+        std::istringstream in(out.str());
+        for (std::string line; std::getline(in, line);) {
+            lines.push_back(nlohmann::json::parse(line));
+        }
+        return lines;
+    }
+
     /** Returns the number of kept facts. */
     std::size_t apply(std::vector<StoreItem> items, bool isSnapshot)
     {
@@ -185,6 +208,52 @@
         CPPUNIT_ASSERT(isUsed("a"));
         CPPUNIT_ASSERT(m_table.find("b") == nullptr);
     }
+
+    /** With 149 gateways and 129 servers, lines for each change at each gateway were most of the logs. */
+    void burstOfChangesIsLoggedAsNumbers()
+    {
+        constexpr std::size_t servers = 200;
+        constexpr std::size_t rounds = 20;
+        const auto nameOfServer = [](std::size_t n) {
+            return "i-" + std::to_string(n);
+        };
+        const auto lines = linesOf([&] {
+            std::vector<StoreItem> all;
+            for (std::size_t n = 0; n < servers; ++n) {
+                all.push_back(server(nameOfServer(n)));
+            }
+            apply(std::move(all), true);
+            for (std::size_t round = 0; round < rounds; ++round) {
+                for (std::size_t n = 0; n < servers; ++n) {
+                    m_now += 5ms;
+                    apply({server(nameOfServer(n), "ready", static_cast<int>(round) + 2)}, false);
+                }
+            }
+            apply({removal("i-0")}, false);
+            m_now += 10s;
+            m_registry.tick(m_now);
+        });
+        std::size_t announced = 0;
+        std::size_t changed = 0;
+        std::size_t gone = 0;
+        for (const auto &it : lines) {
+            const bool isNumbers = it.at("message") == "several servers changed";
+            announced += isNumbers ? it.at("announced").get<std::size_t>() : it.at("message") == "server announced";
+            changed += isNumbers ? it.at("changed").get<std::size_t>() : it.at("message") == "server changed";
+            gone += isNumbers ? it.at("gone").get<std::size_t>() : it.at("message") == "server gone";
+        }
+        // Each change is in one line or in one number; 20 s allow a burst of each kind of line and 3 a second.
+        CPPUNIT_ASSERT_EQUAL(servers, announced);
+        CPPUNIT_ASSERT_EQUAL(servers * rounds, changed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gone);
+        CPPUNIT_ASSERT(lines.size() < 120);
+        // Few changes are told one by one.
+        const auto single = linesOf([&] {
+            apply({server("new")}, false);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, single.size());
+        CPPUNIT_ASSERT(single.front().at("message") == "server announced" && single.front().at("server") == "new");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendRegistryTest);
