Detect small shifts of the demand in groups whose blocks usually agree

The fixed limit of 0.2, which fits the noise of twelve ranks, was never exceeded, so the estimate followed each shift with its half-life of 2 s.

The limit is now three times the usual distance, at least 0.05 and at most 0.2 as before. smallShiftIsSeenWhereBlocksUsuallyAgree fails before.

--- a/src/demand_estimate.cpp
+++ b/src/demand_estimate.cpp
@@ -1,5 +1,6 @@
 #include "demand_estimate.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 #include <utility>
@@ -8,6 +9,9 @@
 
 namespace {
 
+/** Weight of a new distance in the mean of the usual ones: that of about the last ten blocks. */
+constexpr double distanceWeight = 0.1;
+
 /** Total variation distance between the distributions of two sets of choices. */
 double distance(const ExpertLoads &a, double sumA, const ExpertLoads &b, double sumB)
 {
@@ -27,6 +31,19 @@
 {
 }
 
+/** Whether a block at this distance from the average marks a shift; otherwise the distance counts as a usual one. */
+bool DemandEstimate::isShift(double distance)
+{
+    const auto usual = m_usualDistance.value_or(m_config.shiftDistance);
+    const auto limit
+        = std::min(m_config.shiftDistance, std::max(m_config.smallestShiftDistance, m_config.shiftFactor * usual));
+    if (distance > limit) {
+        return true;
+    }
+    m_usualDistance = m_usualDistance ? usual + (distance - usual) * distanceWeight : distance;
+    return false;
+}
+
 void DemandEstimate::update(TimePoint now)
 {
     if (m_blockStart == TimePoint{}) {
@@ -39,7 +56,7 @@
     }
     double factor
         = std::exp2(-std::chrono::duration<double>(length) / std::chrono::duration<double>(m_config.halfLife));
-    if (m_sum > 0 && distance(m_loads, m_sum, m_block, sum) > m_config.shiftDistance) {
+    if (m_sum > 0 && isShift(distance(m_loads, m_sum, m_block, sum))) {
         factor = 0;
         ++m_shifts;
     }
--- a/tests/unit_demand_estimate_test.cpp
+++ b/tests/unit_demand_estimate_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(hasSmallerErrorThanDecayingMean);
     CPPUNIT_TEST(noiseIsNoShift);
     CPPUNIT_TEST(blockNeedsEnoughChoices);
+    CPPUNIT_TEST(smallShiftIsSeenWhereBlocksUsuallyAgree);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr TimePoint start{1'000s};
@@ -163,6 +164,38 @@
         estimate.update(start + 2s);
         CPPUNIT_ASSERT_EQUAL(10'100.0, estimate.sum());
     }
+
+    /**
+     * With hundreds of requests in each block, blocks differ by 0.01 to 0.03 and a shift by 0.1, which is less than the
+     * noise of a small group. The estimate then took seconds to follow a shift.
+     */
+    void smallShiftIsSeenWhereBlocksUsuallyAgree()
+    {
+        constexpr double movedShare = 0.1;
+        for (const double noise : {0.02, 0.08}) {
+            DemandEstimate estimate(DemandEstimateConfig{}, experts);
+            std::mt19937 random(3);
+            TimePoint now{1'000s};
+            const auto addBlock = [&](std::size_t popular) {
+                const auto noisy = std::uniform_int_distribution<std::size_t>(2, experts - 1)(random);
+                for (std::size_t n = 0; n < experts; ++n) {
+                    const double share = (1 - movedShare - noise) / experts + (n == popular ? movedShare : 0)
+                                         + (n == noisy ? noise : 0);
+                    estimate.add(static_cast<ExpertIndex>(n), passChoices * share);
+                }
+                now += passTime;
+                estimate.update(now);
+            };
+            addBlock(0);
+            for (int n = 0; n < 40; ++n) {
+                addBlock(0);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, estimate.shifts());
+            addBlock(1);
+            addBlock(1);
+            CPPUNIT_ASSERT_EQUAL(noise < 0.05 ? std::uint64_t{1} : std::uint64_t{0}, estimate.shifts());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DemandEstimateTest);
