Send no requests to unreported ranks, and refuse those that would wait too long for a slot

- A rank whose agent gave no report seemed to become idle, as its last load decayed, and attracted the requests of all gateways; from 10 s on a quarter of the answers were 'the server refused with 503'.
Ranks without a recent report now get no requests while most others are reported.
- Two requests could wait at each rank.
With 6 slots and a serving time of 2 s that is 0.7 s, beyond the target of 0.6 s for the first event, so at full load all streams were late.
A rank is now left out if the wait for a slot exceeds half of the latency target, by the serving times seen.

A refusal names a time spread from the latency target to the longest that callers honour: the request is late in any case, and a return after the shortest time meets the same peak.

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -21,8 +21,12 @@
 constexpr std::chrono::milliseconds freshLoadTime{800};
 /** Requests that a rank receives from all gateways while a load report is in transit: 5 a second for 0.1 s. */
 constexpr double arrivalsPerServer = 0.5;
-/** Limit of waiting requests per rank; another one would miss the usual objective of 0.5 s for the first event. */
+/** Limit of waiting requests per rank while the serving time is not known. */
 constexpr double waitingPerServer = 2;
+/** Part of the latency target that a request may wait for a slot. The rest is for its prompt and its first event. */
+constexpr double maxWaitShare = 0.5;
+/** Weight of a new serving time in the mean: that of about the last 20 requests. */
+constexpr double servingTimeWeight = 0.05;
 /** Time of a pass without requests (step_ms of the engines), in units of the time per request (per_seq_ms). */
 constexpr double passBase = 5;
 /** A reported pace up to this is noise. */
@@ -149,15 +153,34 @@
     const double distance = backend.record.domain == m_domain ? 0 : remotePenalty;
     // All ranks wait for the slowest one, so a slow rank gets only as many requests as keep its pass time equal to that
     // of the others.
-    const bool isSlow = backend.groupLoadAt + freshLoadTime > now && backend.pace > maxNormalPace;
+    const bool isSlow = isReported(now, backend) && backend.pace > maxNormalPace;
     const double pace = isSlow ? backend.pace : 1;
     return (load(now, backend) + passBase) * pace - passBase + distance;
 }
 
+bool BackendTable::isReported(TimePoint now, const Backend &backend)
+{
+    return backend.groupLoadAt + freshLoadTime > now;
+}
+
+bool BackendTable::areMostReported(TimePoint now, std::span<const std::shared_ptr<Backend>> servers)
+{
+    std::size_t ranks = 0;
+    std::size_t reported = 0;
+    for (const auto &it : servers) {
+        if (isOpen(*it) && !it->record.group.empty()) {
+            ++ranks;
+            reported += isReported(now, *it) ? 1 : 0;
+        }
+    }
+    return reported * 2 > ranks;
+}
+
 std::optional<BackendPick> BackendTable::choose(TimePoint now,
                                                 std::string_view service,
                                                 std::span<const std::string> tried,
-                                                std::mt19937_64 &random) const
+                                                std::mt19937_64 &random,
+                                                std::optional<std::chrono::milliseconds> latencyTarget) const
 {
     const auto servers = m_services.find(service);
     if (servers == m_services.end()) {
@@ -166,13 +189,17 @@
     std::vector<const Backend *> candidates;
     std::vector<double> scores;
     bool isFresh = true;
+    const bool skipsUnreported = areMostReported(now, servers->second);
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
         if (!isOpen(*it) || it->pausedUntil > now || it->waitsUntil > now || wasTried) {
             continue;
         }
-        const bool isKnown = it->groupLoadAt + freshLoadTime > now;
-        if (isKnown && load(now, *it) >= it->record.slots + waitingPerServer) {
+        const bool isKnown = isReported(now, *it);
+        if (!isKnown && skipsUnreported) {
+            continue;
+        }
+        if (isKnown && load(now, *it) >= it->record.slots + maxWaiting(*it, latencyTarget)) {
             continue;
         }
         candidates.push_back(it.get());
@@ -211,11 +238,29 @@
     }
 }
 
-void BackendTable::onSuccess(std::string_view id)
+void BackendTable::onSuccess(std::string_view id, std::optional<std::chrono::milliseconds> servingTime)
 {
-    if (auto *it = findMutable(id)) {
-        it->failures = 0;
+    auto *it = findMutable(id);
+    if (it == nullptr) {
+        return;
+    }
+    it->failures = 0;
+    if (servingTime) {
+        const auto ms = static_cast<double>(servingTime->count());
+        const auto [mean, isNew] = m_servingMs.try_emplace(it->record.service, ms);
+        mean->second += (ms - mean->second) * servingTimeWeight;
+    }
+}
+
+/** Number of requests that may wait at a rank: as many as get a slot within the time that one of them may wait. */
+double BackendTable::maxWaiting(const Backend &backend, std::optional<std::chrono::milliseconds> latencyTarget) const
+{
+    const auto servingMs = m_servingMs.find(backend.record.service);
+    if (!latencyTarget || servingMs == m_servingMs.end() || servingMs->second <= 0) {
+        return waitingPerServer;
     }
+    const double maxWaitMs = static_cast<double>(latencyTarget->count()) * maxWaitShare;
+    return maxWaitMs * backend.record.slots / servingMs->second;
 }
 
 void BackendTable::pause(TimePoint now, Backend &backend, BackendFault fault)
@@ -290,8 +335,11 @@
                                 std::span<const std::optional<BackendLoad>> loads)
 {
     for (const auto &[id, it] : m_backends) {
-        const bool isReported = it->record.group == group && it->record.rank < loads.size() && loads[it->record.rank];
-        if (!isReported || readAt < it->groupLoadAt) {
+        if (it->record.group != group || it->record.rank >= loads.size() || readAt < it->groupLoadAt) {
+            continue;
+        }
+        if (!loads[it->record.rank]) {
+            it->groupLoadAt = {};
             continue;
         }
         const auto &load = *loads[it->record.rank];
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -101,7 +101,8 @@
  *
  * Expected load: many streams of similar size on ranks that advance in lock-step, so that the most loaded rank slows
  * down all others. The choice balances the number of requests per rank, using the loads of the whole group where they
- * are known. A server in another failure domain is chosen only if its load is lower, since traffic between failure
+ * are known. A rank that gives no report while most others do is silent or cut off, and gets no requests. At more load than the ranks can serve, a request that would wait for a slot beyond its latency target is
+ * refused: each one that runs late takes a slot for as long as one that is in time. A server in another failure domain is chosen only if its load is lower, since traffic between failure
  * domains is expensive.
  */
 class BackendTable
@@ -117,15 +118,22 @@
     const Backend *find(std::string_view id) const;
     std::vector<std::string> ids() const;
 
-    /** Chooses a server with a low load, excluding @p tried and paused ones; returns nothing if none is left. */
-    std::optional<BackendPick>
-    choose(TimePoint now, std::string_view service, std::span<const std::string> tried, std::mt19937_64 &random) const;
+    /**
+     * Chooses a server with a low load, excluding @p tried and paused ones; returns nothing if none is left.
+     * @p latencyTarget: for the first part of the answer. Ranks where the request would wait too long for it are left out.
+     */
+    std::optional<BackendPick> choose(TimePoint now,
+                                      std::string_view service,
+                                      std::span<const std::string> tried,
+                                      std::mt19937_64 &random,
+                                      std::optional<std::chrono::milliseconds> latencyTarget = std::nullopt) const;
     /** Whether no server of the service is usable. If false, unavailable servers are only short of capacity. */
     bool isDown(TimePoint now, std::string_view service) const;
 
     void onStart(std::string_view id);
     void onEnd(std::string_view id);
-    void onSuccess(std::string_view id);
+    /** @p servingTime: from the first part of the answer to its end, for which the request had a slot. */
+    void onSuccess(std::string_view id, std::optional<std::chrono::milliseconds> servingTime = std::nullopt);
     void onFault(TimePoint now, std::string_view id, BackendFault fault);
     void onLoad(TimePoint now, std::string_view id, BackendLoad load);
     /** Called if the server states in an answer that it leaves. Returns whether that is new; it lasts for that run. */
@@ -150,11 +158,17 @@
     /** Whether the server takes requests at all, apart from pauses. */
     static bool isOpen(const Backend &backend);
     double score(TimePoint now, const Backend &backend) const;
+    /** Whether the group's last loads had one of this rank, and they are recent. */
+    static bool isReported(TimePoint now, const Backend &backend);
+    /** Whether most ranks of the service are reported, so that the lack of a report tells that something is wrong. */
+    static bool areMostReported(TimePoint now, std::span<const std::shared_ptr<Backend>> servers);
+    double maxWaiting(const Backend &backend, std::optional<std::chrono::milliseconds> latencyTarget) const;
     static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
     Backend *findRun(const ServerIncarnation &server);
 
     std::string m_domain;
+    std::map<std::string, double, std::less<>> m_servingMs; ///< By service: mean time for which a request has a slot.
     std::unordered_map<std::string, std::shared_ptr<Backend>, StringHash, std::equal_to<>> m_backends;
     std::map<std::string, std::vector<std::shared_ptr<Backend>>, std::less<>> m_services;
 };
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -65,7 +65,8 @@
     return head.status >= firstServerError && m_request.rule->isIdempotent() && hasAttemptsLeft()
            && suspectDecision(now).action != SuspectAction::Refuse
            && now + m_request.rule->latencyTarget / 2 < effectiveDeadline()
-           && m_context.backends.choose(now, m_request.service, m_tried, m_context.random)
+           && m_context.backends.choose(
+               now, m_request.service, m_tried, m_context.random, m_request.rule->latencyTarget)
            && retries().tryAcquireRetry(now);
 }
 
@@ -111,7 +112,8 @@
         refuseSuspect(now, decision, actions);
         return;
     }
-    const auto pick = m_context.backends.choose(now, m_request.service, m_tried, m_context.random);
+    const auto pick
+        = m_context.backends.choose(now, m_request.service, m_tried, m_context.random, m_request.rule->latencyTarget);
     if (!pick) {
         if (m_summary.reason.empty()) {
             m_summary.reason = "no backend server can take the request";
@@ -122,6 +124,7 @@
     m_server = pick->server;
     m_attemptAt = now;
     m_lastProgressAt = now;
+    m_firstEventAt.reset();
     m_body.clear();
     m_tried.push_back(pick->server.id);
     m_context.backends.onStart(pick->server.id);
@@ -232,6 +235,7 @@
             return actions;
         }
         m_lastProgressAt = now;
+        m_firstEventAt = m_firstEventAt.value_or(now);
         if (!m_isCommitted) {
             commit(now, std::nullopt, actions);
         }
@@ -263,7 +267,12 @@
         retryOrGiveUp(now, {Verdict::MayHaveRun, BackendFault::Broken, "the stream ended in mid-event"}, actions);
         return actions;
     }
-    m_context.backends.onSuccess(m_server->id);
+    // The first event of a stream comes when the request has a slot.
+    const bool isServed = isStream() && isSuccess(m_head->status) && m_firstEventAt;
+    m_context.backends.onSuccess(
+        m_server->id,
+        isServed ? std::optional(std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_firstEventAt))
+                 : std::nullopt);
     if (isSuccess(m_head->status)) {
         m_summary.hasClearedSuspicion = m_context.suspects.complete(m_request.fingerprint);
     }
@@ -364,7 +373,12 @@
     // is used, since an outage usually lasts longer than that.
     const double jitter = std::uniform_real_distribution<double>(0.8, 1.0)(m_context.random);
     const auto maxDelay = std::chrono::duration_cast<std::chrono::milliseconds>(remaining * maxRetryAfterShare);
-    const auto busyDelay = std::max(minRetryAfter, m_request.rule->latencyTarget);
+    // A request that was refused misses its latency target anyway. Returns are spread over the time in which the caller
+    // may come back, so that those refused in a peak do not come back as the next one.
+    const auto shortest = std::max(minRetryAfter, m_request.rule->latencyTarget);
+    const auto longest = std::max(shortest, maxDelay);
+    const auto busyDelay = std::chrono::milliseconds(
+        std::uniform_int_distribution<std::int64_t>(shortest.count(), longest.count())(m_context.random));
     if (const auto end = m_context.backends.waitsUntil(now, m_request.service)) {
         // The servers have said when they want requests again, so the jitter only adds to that.
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>((*end - now) / jitter);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -103,6 +103,7 @@
     std::uint32_t m_unreachedAttempts = 0; ///< Attempts that did not reach a server.
     TimePoint m_attemptAt{};
     TimePoint m_lastProgressAt{}; ///< Start of the attempt, head of the answer, or last bytes; of a stream, last event.
+    std::optional<TimePoint> m_firstEventAt; ///< Of the current attempt.
     std::optional<SendHead> m_head; ///< Head of the accepted response.
     std::string m_body; ///< Received part of the body that has not been forwarded yet.
     bool m_isCommitted = false; ///< The head has been sent to the caller.
--- a/tests/unit_backend_choice_test.cpp
+++ b/tests/unit_backend_choice_test.cpp
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(findsRanksOfAGroup);
     CPPUNIT_TEST(olderLoadsAreIgnored);
     CPPUNIT_TEST(cachedLoadsAge);
+    CPPUNIT_TEST(rankWithoutReportGetsNoRequests);
+    CPPUNIT_TEST(requestsThatWouldWaitTooLongAreRefused);
     CPPUNIT_TEST(groupLoadsRoundTrip);
     CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +205,57 @@
         CPPUNIT_ASSERT_EQUAL(7.0, table.find("r0")->othersInFlight);
     }
 
+    /** A rank whose agent was silent seemed to become idle, so that all gateways sent their requests there. */
+    void rankWithoutReportGetsNoRequests()
+    {
+        BackendTable table("near");
+        for (std::uint32_t rank = 0; rank < 4; ++rank) {
+            table.upsert(record(rank));
+        }
+        const std::vector<std::optional<BackendLoad>> loads{
+            BackendLoad{3, 0}, BackendLoad{3, 0}, std::nullopt, BackendLoad{3, 0}};
+        const std::vector<std::optional<BackendLoad>> before(4, BackendLoad{3, 0});
+        table.onGroupLoads(m_now, "g", before);
+        table.onGroupLoads(m_now + 100ms, "g", loads);
+        for (int n = 0; n < 100; ++n) {
+            CPPUNIT_ASSERT(table.choose(m_now + 150ms, "s", {}, m_random)->server.id != "r2");
+        }
+        // Without reports of most ranks, all can be chosen, as without reports at all.
+        const std::vector<std::optional<BackendLoad>> few{BackendLoad{3, 0}, std::nullopt, std::nullopt, std::nullopt};
+        table.onGroupLoads(m_now + 200ms, "g", few);
+        std::set<std::string> chosen;
+        for (int n = 0; n < 100; ++n) {
+            const auto pick = table.choose(m_now + 250ms, "s", {}, m_random);
+            table.onStart(pick->server.id);
+            chosen.insert(pick->server.id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, chosen.size());
+    }
+
+    /** Load at which all slots are taken: one more request waits for a sixth of the serving time. */
+    void requestsThatWouldWaitTooLongAreRefused()
+    {
+        BackendTable table("near");
+        auto server = record(0);
+        server.slots = 6;
+        table.upsert(server);
+        table.onSuccess("r0", 2'000ms);
+        const auto isTaken = [&](std::uint32_t waiting, std::chrono::milliseconds target) {
+            const std::vector<std::optional<BackendLoad>> loads{BackendLoad{6, waiting}};
+            table.onGroupLoads(m_now, "g", loads);
+            return table.choose(m_now, "s", {}, m_random, target).has_value();
+        };
+        CPPUNIT_ASSERT(isTaken(0, 600ms));
+        CPPUNIT_ASSERT(!isTaken(1, 600ms));
+        CPPUNIT_ASSERT(isTaken(1, 1'200ms));
+        CPPUNIT_ASSERT(!isTaken(2, 1'200ms));
+        // Short streams free their slots sooner.
+        for (int n = 0; n < 200; ++n) {
+            table.onSuccess("r0", 200ms);
+        }
+        CPPUNIT_ASSERT(isTaken(8, 600ms));
+    }
+
     void cachedLoadsAge()
     {
         GroupLoadCache cache;
