--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -368,24 +368,24 @@
 /** Time after which a caller may come back, if the request was refused for lack of a server. */
 std::chrono::milliseconds Exchange::retryDelay(TimePoint now) const
 {
+    const auto &backends = m_context.backends;
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(effectiveDeadline() - now);
-    // Jitter keeps the callers from retrying all at once. If the service is down, the longest delay that callers honour
-    // is used, since an outage usually lasts longer than that.
-    const double jitter = std::uniform_real_distribution<double>(0.8, 1.0)(m_context.random);
-    const auto maxDelay = std::chrono::duration_cast<std::chrono::milliseconds>(remaining * maxRetryAfterShare);
-    // A request that was refused misses its latency target anyway. Returns are spread over the time in which the caller
-    // may come back, so that those refused in a peak do not come back as the next one.
-    const auto shortest = std::max(minRetryAfter, m_request.rule->latencyTarget);
-    const auto longest = std::max(shortest, maxDelay);
-    const auto busyDelay = std::chrono::milliseconds(
-        std::uniform_int_distribution<std::int64_t>(shortest.count(), longest.count())(m_context.random));
-    if (const auto end = m_context.backends.waitsUntil(now, m_request.service)) {
-        // The servers have said when they want requests again, so the jitter only adds to that.
-        const auto wait = std::chrono::ceil<std::chrono::milliseconds>((*end - now) / jitter);
-        return std::clamp(wait, 1ms, std::max(maxDelay, 1ms));
-    }
-    const auto baseDelay = m_context.backends.isDown(now, m_request.service) ? maxDelay : std::min(busyDelay, maxDelay);
-    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(baseDelay * jitter), 1ms);
+    const auto longest
+        = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(remaining * maxRetryAfterShare), 1ms);
+    const auto between = [this](std::chrono::milliseconds a, std::chrono::milliseconds b) {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<std::int64_t>(a.count(), b.count())(m_context.random));
+    };
+    if (const auto end = backends.waitsUntil(now, m_request.service)) {
+        // The servers have said when they want requests again. Returns are spread over the time after that.
+        const auto wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(*end - now), 1ms, longest);
+        return between(wait, std::min(wait * 5 / 4, longest));
+    }
+    // A refused request misses its latency target anyway. Returns are spread over the time in which the caller may come
+    // back, so that those refused in a peak do not come back as the next one. An outage usually lasts longer than that.
+    const auto busyDelay = std::min(std::max(minRetryAfter, m_request.rule->latencyTarget), longest);
+    const auto shortest = backends.isDown(now, m_request.service) ? longest : busyDelay;
+    return between(shortest * 4 / 5, longest);
 }
 
 void Exchange::refuse(std::chrono::milliseconds retryAfter, ExchangeActions &actions)
