--- a/tests/group_simulation.h
+++ b/tests/group_simulation.h
@@ -149,16 +149,17 @@
                 });
             });
         };
-        link.sendOrder = [this](const turmericline::GroupOrder &order, turmericline::GroupLink::OrderHandler handler) {
-            sendToBlock(order, std::move(handler));
-        };
+        link.sendOrder
+            = [this](const turmericline::GroupOrder &order, const turmericline::GroupLink::OrderHandler &handler) {
+                  sendToBlock(order, handler);
+              };
         return link;
     }
 
     using AnswerHandler = std::function<void(std::optional<turmericline::OrderAnswer> answer)>;
 
     /** Sends an order through the agent of the first rank. If that agent is unreachable, no rank gets the order. */
-    void sendToBlock(const turmericline::GroupOrder &order, turmericline::GroupLink::OrderHandler handler)
+    void sendToBlock(const turmericline::GroupOrder &order, const turmericline::GroupLink::OrderHandler &handler)
     {
         struct Collection
         {
