--- a/tests/unit_group_coordinator_test.cpp
+++ b/tests/unit_group_coordinator_test.cpp
@@ -55,7 +55,7 @@
         link.queryRanks = [this](const RankQuery &query, GroupLink::ReportHandler handler) {
             m_queries.push_back({query, std::move(handler)});
         };
-        link.sendOrder = [this](const GroupOrder &order, GroupLink::OrderHandler handler) {
+        link.sendOrder = [this](const GroupOrder &order, const GroupLink::OrderHandler &handler) {
             m_sentOrders.push_back(order.ranks);
             auto answers = std::make_shared<OrderAnswers>(order.ranks.size());
             auto pending = std::make_shared<std::size_t>(order.ranks.size());
