--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -20,7 +20,7 @@
         auto exchange = make();
         const auto actions = exchange.start(now);
         const auto *start = find<StartAttempt>(actions);
-        const auto server = start == nullptr ? std::string() : start->server;
+        auto server = start == nullptr ? std::string() : start->server;
         exchange.onHead(now, head(status), fields);
         exchange.onEnd(now);
         return server;
