Keep calling blocks after lost answers, and call single ranks within the share of the link

A block is now called rank by rank only if its first agent gave no answer at all. The periods of queries follow from the number of calls in each round, and single calls carry no loads. The two tests that fail before: lostAnswersToOrdersDoNotMultiplyTheCalls, failedBlocksDoNotOverloadTheLink.

--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t bytesPerRank = 8;
 constexpr std::size_t bytesPerCount = 1;
 constexpr std::chrono::milliseconds proposalPeriod{20};
-/** How long the ranks of a block are called one by one after a missing or incomplete answer. */
+/** How long the ranks of a block are called one by one after its first agent gave no answer. */
 constexpr std::chrono::milliseconds singleCallTime{1'000};
 /** States older than this are not used for a decision. */
 constexpr std::chrono::milliseconds stateLifetime{1'000};
@@ -43,6 +43,7 @@
                                    GroupLink link,
                                    std::mt19937_64 &random)
     : m_layout(layout)
+    , m_linkBudget(config.link)
     , m_link(std::move(link))
     , m_random(random)
     , m_balancer(config.balancer, layout, ranks)
@@ -52,21 +53,17 @@
         maxRanksPerQuery, static_cast<std::uint32_t>(std::ceil(std::sqrt(static_cast<double>(ranks)))));
     for (std::uint32_t n = 0; n < ranks; n += width) {
         m_blocks.push_back({n, std::min(width, static_cast<std::uint32_t>(ranks) - n)});
+        m_blocks.back().carriesLoads = true;
     }
     for (std::uint32_t n = 0; n < ranks; ++n) {
         m_singleRanks.push_back({n});
     }
-    const auto stateBytes = m_blocks.size() * (bytesPerReport + width * bytesPerRank);
-    const auto countBytes = m_blocks.size() * std::size_t{layout.layers} * layout.experts * bytesPerCount;
-    m_choicesPeriod = std::max(minChoicesPeriod, config.link.period(stateBytes + countBytes, choicesShare));
-    m_switchQueryPeriod = std::max(minSwitchQueryPeriod, config.link.period(stateBytes, statesShare));
 }
 
 void GroupCoordinator::tick(TimePoint now)
 {
     m_now = now;
     if (now >= m_nextQueryAt) {
-        m_nextQueryAt = now + (m_switch ? m_switchQueryPeriod : queryPeriod);
         sendQueries(now);
     }
     if (m_switch) {
@@ -77,20 +74,40 @@
     }
 }
 
-void GroupCoordinator::sendQueries(TimePoint now)
+/** Returns the blocks, or the single ranks of those whose first agent does not answer. */
+std::vector<GroupCoordinator::QueryTarget *> GroupCoordinator::queryTargets(TimePoint now)
 {
+    std::vector<QueryTarget *> targets;
     for (auto &block : m_blocks) {
         if (now >= block.callRanksSinglyUntil) {
-            sendQuery(now, block);
+            targets.push_back(&block);
             continue;
         }
         for (std::uint32_t n = 0; n < block.count; ++n) {
-            sendQuery(now, m_singleRanks[block.first + n]);
+            targets.push_back(&m_singleRanks[block.first + n]);
         }
     }
+    return targets;
+}
+
+/** The times of the next queries follow from the size of the answers to these, which depends on how many there are. */
+void GroupCoordinator::sendQueries(TimePoint now)
+{
+    const auto targets = queryTargets(now);
+    const bool withChoices = now >= m_nextChoicesAt && !isOrderUrgent();
+    for (auto *it : targets) {
+        sendQuery(now, *it, withChoices);
+    }
+    const auto stateBytes = targets.size() * bytesPerReport + m_lastReports.size() * bytesPerRank;
+    const auto countBytes = targets.size() * m_layout.layers * m_layout.experts * bytesPerCount;
+    m_nextQueryAt
+        = now + std::max(m_switch ? minSwitchQueryPeriod : queryPeriod, m_linkBudget.period(stateBytes, statesShare));
+    if (withChoices) {
+        m_nextChoicesAt = now + std::max(minChoicesPeriod, m_linkBudget.period(stateBytes + countBytes, choicesShare));
+    }
 }
 
-void GroupCoordinator::sendQuery(TimePoint now, QueryTarget &target)
+void GroupCoordinator::sendQuery(TimePoint now, QueryTarget &target, bool withChoices)
 {
     if (target.isQueryPending) {
         return;
@@ -101,21 +118,18 @@
     query.first = target.first;
     query.count = target.count;
     query.withHeld = m_needsHeldExperts;
-    query.withChoices = now >= target.nextChoicesAt && !isOrderUrgent();
-    if (query.withChoices) {
-        target.nextChoicesAt = now + m_choicesPeriod;
-    }
-    if (now >= target.nextLoadsAt) {
+    query.withChoices = withChoices;
+    if (target.carriesLoads && now >= target.nextLoadsAt) {
         target.nextLoadsAt = now + queryPeriod;
         query.loads = loads();
     }
     // The reference stays valid: m_blocks and m_singleRanks do not change after construction.
-    m_link.queryRanks(
-        query, [this, &target, query, life = std::weak_ptr<int>(m_aliveToken)](std::optional<GroupReport> report) {
-            if (!life.expired()) {
-                onGroupReport(target, query, std::move(report));
-            }
-        });
+    m_link.queryRanks(query,
+                      [this, &target, life = std::weak_ptr<int>(m_aliveToken)](std::optional<GroupReport> report) {
+                          if (!life.expired()) {
+                              onGroupReport(target, std::move(report));
+                          }
+                      });
 }
 
 /** The group is on hold, or is about to be: the orders that end the hold must not wait behind counts. */
@@ -124,13 +138,11 @@
     return m_switch && m_switch->phase() != MapSwitch::Phase::Preparing;
 }
 
-void GroupCoordinator::onGroupReport(QueryTarget &target, const RankQuery &query, std::optional<GroupReport> report)
+void GroupCoordinator::onGroupReport(QueryTarget &target, std::optional<GroupReport> report)
 {
     target.isQueryPending = false;
-    if (!report || report->ranks.size() < query.count) {
-        target.callRanksSinglyUntil = m_now + singleCallTime;
-    }
     if (!report) {
+        target.callRanksSinglyUntil = m_now + singleCallTime;
         return;
     }
     for (auto &it : report->ranks) {
@@ -247,11 +259,11 @@
     if (!m_switch || m_switch->version() != order.order.version) {
         return;
     }
+    if (answers.empty()) {
+        blockOf(order.ranks.front()).callRanksSinglyUntil = m_now + singleCallTime;
+    }
     for (std::size_t n = 0; n < order.ranks.size(); ++n) {
         const auto answer = n < answers.size() ? answers[n] : std::nullopt;
-        if (!answer && order.ranks.size() > 1) {
-            blockOf(order.ranks[n]).callRanksSinglyUntil = m_now + singleCallTime;
-        }
         m_switch->onAnswer(m_now, order.ranks[n], order.order.kind, order.order.pass, answer);
     }
     advanceSwitch(m_now);
--- a/src/group_coordinator.h
+++ b/src/group_coordinator.h
@@ -44,8 +44,8 @@
  * Load pattern: many ranks with many experts behind slow links. Ranks are queried in blocks of about the square root of
  * the group size, through the agent of the first rank of the block, which adds up the counts; orders go the same way.
  * The traffic of the coordinator and of that agent thus grows with the square root of the group size, and the periods of
- * queries are such that it stays within a share of the link. If a block does not answer in full, its ranks are called
- * one by one for a while.
+ * queries are such that it stays within a share of the link. If the first agent of a block does not answer, its ranks are
+ * called one by one for a while, less often.
  *
  * Queries also carry the loads of all ranks, so that any agent can pass them on to the gateways near it.
  */
@@ -88,14 +88,15 @@
         std::uint32_t count = 1;
         bool isQueryPending = false;
         std::uint64_t phase = 0; ///< Value of m_phaseCount when the query was sent.
-        TimePoint nextChoicesAt{}; ///< When the next query for counts is due.
+        bool carriesLoads = false; ///< Queries to the first agent of a block carry the loads of all ranks.
         TimePoint nextLoadsAt{}; ///< When the loads are to be sent next.
         TimePoint callRanksSinglyUntil{}; ///< Until then, the ranks of the block are called one by one.
     };
 
+    std::vector<QueryTarget *> queryTargets(TimePoint now);
     void sendQueries(TimePoint now);
-    void sendQuery(TimePoint now, QueryTarget &target);
-    void onGroupReport(QueryTarget &target, const RankQuery &query, std::optional<GroupReport> report);
+    void sendQuery(TimePoint now, QueryTarget &target, bool withChoices);
+    void onGroupReport(QueryTarget &target, std::optional<GroupReport> report);
     void updateRank(TimePoint now, RankReport report, bool isFromCurrentPhase);
     void advanceSwitch(TimePoint now);
     void sendOrder(const GroupOrder &order);
@@ -111,8 +112,7 @@
     void endSwitch(TimePoint now);
 
     ExpertLayout m_layout;
-    std::chrono::milliseconds m_choicesPeriod{}; ///< Of queries for counts.
-    std::chrono::milliseconds m_switchQueryPeriod{}; ///< Of queries for states during a switch.
+    LinkBudget m_linkBudget;
     GroupLink m_link;
     std::mt19937_64 &m_random;
     ExpertBalancer m_balancer;
@@ -128,6 +128,7 @@
     std::uint64_t m_epoch = 0;
     TimePoint m_now{}; ///< Time of the last tick.
     TimePoint m_nextQueryAt{};
+    TimePoint m_nextChoicesAt{}; ///< When the next queries for counts are due.
     TimePoint m_nextProposalAt{};
     TimePoint m_switchStartedAt{};
     std::shared_ptr<int> m_aliveToken = std::make_shared<int>(0); ///< Handlers that outlive the coordinator do nothing.
