Do not lose a read that is asked for twice

Found on reading the change: StoreReader gave a new number to its call with each request for a read, while the feed began a new call only with the first one. A second request while the read was in flight, as when a reader tells twice of a new configuration, left the feed waiting for an answer that was thrown away: a gateway that follows another one never read that configuration, and one that others follow stopped reading for good.

The feed now says whether its call is void. unit.store_reader secondRequestDuringAReadIsNotLost fails before this change.

--- a/src/store_feed.cpp
+++ b/src/store_feed.cpp
@@ -65,21 +65,23 @@
     fail(now, "the store's address has changed", random);
 }
 
-void StoreFeed::setPaused(bool isPaused)
+bool StoreFeed::setPaused(bool isPaused)
 {
-    if (m_isPaused && !isPaused) {
+    const bool isResumed = std::exchange(m_isPaused, isPaused) && !isPaused;
+    if (isResumed) {
         // Changes were missed in the meantime. A read shows them at once, a watch only as long as there is a history.
         restart();
     }
-    m_isPaused = isPaused;
+    return isResumed;
 }
 
-void StoreFeed::requestRead()
+bool StoreFeed::requestRead()
 {
-    if (!m_isReadRequested) {
-        m_isReadRequested = true;
-        restart();
+    if (std::exchange(m_isReadRequested, true)) {
+        return false;
     }
+    restart();
+    return true;
 }
 
 void StoreFeed::restart()
--- a/src/store_feed.h
+++ b/src/store_feed.h
@@ -65,10 +65,13 @@
     bool onKnownEra(TimePoint now, std::optional<StoreEra> era, std::mt19937_64 &random);
     /** Called if calls go to another store from now on, whose eras have nothing to do with those of the former one. */
     void onStoreReplaced(TimePoint now, std::mt19937_64 &random);
-    /** Stops calls while another source has the changes. Afterwards the current call is void; all items are read again. */
-    void setPaused(bool isPaused);
-    /** Has all items read once although the feed is paused. The current call is void. */
-    void requestRead();
+    /**
+     * Stops calls while another source has the changes; afterwards all items are read again. Returns whether the current
+     * call is void, so that its answer must not be passed on.
+     */
+    bool setPaused(bool isPaused);
+    /** Has all items read once although the feed is paused, unless that is already asked for; returns as setPaused(). */
+    bool requestRead();
     /** Sets the longest wait of a watch. */
     void setWatchWait(std::chrono::milliseconds wait);
     /** Sets the time over which the feeds of all gateways that learn of a new era spread their reads. */
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -66,17 +66,16 @@
 
 void StoreReader::setPaused(bool isPaused)
 {
-    if (m_isPaused && !isPaused) {
+    if (m_feed.setPaused(isPaused)) {
         ++m_callNumber;
     }
-    m_isPaused = isPaused;
-    m_feed.setPaused(isPaused);
 }
 
 void StoreReader::requestRead()
 {
-    ++m_callNumber;
-    m_feed.requestRead();
+    if (m_feed.requestRead()) {
+        ++m_callNumber;
+    }
 }
 
 void StoreReader::setWatchWait(std::chrono::milliseconds wait)
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -60,7 +60,6 @@
     std::mt19937_64 &m_random;
     HttpCaller m_caller;
     std::uint64_t m_callNumber = 0; ///< Number of the current call; replies to earlier ones are ignored.
-    bool m_isPaused = false;
     bool m_isOutageLogged = false; ///< The current outage has been logged.
 };
 
