Mend what a second reading of the change found

- The same decoding of a reply stood in four files, and the width of a block in two: decodeReply() and ranksPerBlock().
- FeedNews is FeedReport, and its handlers and variables are named accordingly.
- The spread of returns after a refusal came without a test in: returnsAfterARefusalAreSpread.

--- a/src/expert_agent.cpp
+++ b/src/expert_agent.cpp
@@ -6,7 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cmath>
 #include <csignal>
 
 namespace turmericline {
@@ -21,8 +20,6 @@
 /** Polling interval for the layout of the experts, which changes only with the model. */
 constexpr std::chrono::milliseconds configPeriod{10'000};
 constexpr std::chrono::milliseconds ownStatePeriod{1'000};
-/** For calls to the rank, which is on the same machine and answers within milliseconds. */
-constexpr std::chrono::milliseconds rankTimeout{100};
 /** For calls to another agent about its own rank, to which it makes up to three calls. */
 constexpr std::chrono::milliseconds peerTimeout{250};
 /** For calls to another agent about a block of ranks, for which it calls the agents of the other ranks itself. */
@@ -31,10 +28,8 @@
 constexpr std::size_t copiesInTransit = 2U;
 constexpr std::size_t maxPeerBytes = 1U << 20U;
 constexpr int statusOk = 200;
-constexpr int statusAccepted = 202;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
 const std::string ranksTarget = "/ranks";
 const std::string orderTarget = "/rank/order";
 const std::string messagePackType = "application/msgpack";
@@ -60,16 +55,6 @@
     return group;
 }
 
-/** Answer of the rank; nothing if it may still execute the order. */
-std::optional<OrderAnswer> orderAnswer(const std::optional<HttpReply> &reply)
-{
-    if (!reply || reply->status == statusTimeout || reply->status == statusUnavailable) {
-        return std::nullopt;
-    }
-    const bool isAccepted = reply->status == statusOk || reply->status == statusAccepted;
-    return isAccepted ? OrderAnswer::Accepted : OrderAnswer::Refused;
-}
-
 std::string_view ipOf(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -84,7 +69,6 @@
     : m_io(io)
     , m_settings(settings)
     , m_dialect(std::move(dialect))
-    , m_rankDialect(std::move(ranks))
     , m_coordinatorConfig(coordinatorConfig(settings))
     , m_ip(ipOf(settings.peer))
     , m_peerPort(parseEndpoint(settings.peer)->port())
@@ -111,6 +95,7 @@
           },
           m_random)
     , m_caller(io)
+    , m_rank(m_caller, std::move(ranks))
     , m_peerServer(io,
                    peerServerConfig(requireEndpoint(settings.peer), maxPeerBytes),
                    [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
@@ -223,6 +208,7 @@
                 m_agents.clear();
             }
             m_ownServer = record;
+            m_rank.setAddress(record.address);
         }
     }
     for (const auto &id : ids) {
@@ -323,7 +309,7 @@
                                     : Result<GroupReport>::ok(std::move(collection->report)));
         }
     };
-    readReport(query, add);
+    m_rank.readReport(query, add);
     for (std::uint32_t n = 1; n < query.count; ++n) {
         auto single = query;
         single.first = query.first + n;
@@ -335,8 +321,7 @@
 /** Time to transfer messages of @p bytes to all agents of a block, or from them. */
 std::chrono::milliseconds ExpertAgent::transferTime(std::size_t bytes) const
 {
-    const auto size = m_ownState ? m_ownState->size : 1;
-    const auto width = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(size))));
+    const auto width = ranksPerBlock(m_ownState ? m_ownState->size : 1);
     return m_coordinatorConfig.link.transferTime(bytes * width * copiesInTransit);
 }
 
@@ -354,13 +339,7 @@
     const auto address = agentOf(query.first);
     const auto target = ranksTarget + "?" + encodeRankQuery(query);
     auto onReply = [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
-        if (!reply) {
-            handler(Result<GroupReport>::fail(reason));
-        } else if (reply->status != statusOk) {
-            handler(Result<GroupReport>::fail("an agent answered with status " + std::to_string(reply->status)));
-        } else {
-            handler(decodeGroupReport(reply->body));
-        }
+        handler(decodeReply(reply, reason, decodeGroupReport));
     };
     if (query.withChoices) {
         timeout += transferTime(choiceBytes());
@@ -373,84 +352,6 @@
     }
 }
 
-template<typename T>
-void ExpertAgent::queryRank(const std::string &target,
-                            const std::function<Result<T>(std::string_view)> &read,
-                            std::function<void(Result<T>)> handler)
-{
-    if (!m_ownServer) {
-        handler(Result<T>::fail("no backend server is known on this machine"));
-        return;
-    }
-    m_caller.get(
-        std::chrono::steady_clock::now(),
-        m_ownServer->address,
-        target,
-        rankTimeout,
-        [read, handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
-            if (!reply) {
-                handler(Result<T>::fail(reason));
-            } else if (reply->status != statusOk) {
-                handler(Result<T>::fail("the rank answered with status " + std::to_string(reply->status)));
-            } else {
-                handler(read(reply->body));
-            }
-        });
-}
-
-void ExpertAgent::readReport(const RankQuery &query, ReportHandler handler)
-{
-    queryRank<RankState>(m_rankDialect.stateTarget,
-                         m_rankDialect.readState,
-                         [this, query, handler = std::move(handler)](Result<RankState> state) {
-                             if (!state) {
-                                 handler(Result<GroupReport>::fail(state.reason));
-                                 return;
-                             }
-                             GroupReport report;
-                             report.ranks.push_back({std::move(*state.value), {}});
-                             if (query.withChoices) {
-                                 readChoices(std::move(report), query, handler);
-                             } else {
-                                 readHeld(std::move(report), query, handler);
-                             }
-                         });
-}
-
-void ExpertAgent::readChoices(GroupReport report, const RankQuery &query, ReportHandler handler)
-{
-    queryRank<RankCounts>(
-        m_rankDialect.countsTarget,
-        m_rankDialect.readCounts,
-        [this, query, report = std::move(report), handler = std::move(handler)](Result<RankCounts> counts) mutable {
-            if (!counts) {
-                handler(Result<GroupReport>::fail(counts.reason));
-                return;
-            }
-            report.choices = m_choiceCounter.choicesSinceLast(*counts.value);
-            readHeld(std::move(report), query, handler);
-        });
-}
-
-void ExpertAgent::readHeld(GroupReport report, const RankQuery &query, ReportHandler handler)
-{
-    if (!query.withHeld) {
-        handler(Result<GroupReport>::ok(std::move(report)));
-        return;
-    }
-    queryRank<HeldExperts>(
-        m_rankDialect.heldTarget,
-        m_rankDialect.readHeld,
-        [report = std::move(report), handler = std::move(handler)](Result<HeldExperts> held) mutable {
-            if (!held) {
-                handler(Result<GroupReport>::fail(held.reason));
-                return;
-            }
-            report.ranks.front().held = std::move(*held.value);
-            handler(Result<GroupReport>::ok(std::move(report)));
-        });
-}
-
 void ExpertAgent::onOrder(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     auto order = decodeRankOrder(request.body);
@@ -490,7 +391,7 @@
             add(n, answers.empty() ? std::nullopt : answers.front());
         });
     }
-    executeOrder(order.order, [add](std::optional<OrderAnswer> answer) {
+    m_rank.execute(order.order, [add](std::optional<OrderAnswer> answer) {
         add(0, answer);
     });
 }
@@ -505,36 +406,9 @@
                   messagePackType,
                   body,
                   timeout,
-                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                      const bool isAnswered = reply && reply->status == statusOk;
+                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &reason) {
                       // Without answers, the order counts as one that may still be executed.
-                      handler(isAnswered ? decodeOrderAnswers(reply->body).value.value_or(OrderAnswers{})
-                                         : OrderAnswers{});
-                  });
-}
-
-void ExpertAgent::executeOrder(RankOrder order, std::function<void(std::optional<OrderAnswer>)> handler)
-{
-    if (!m_ownServer) {
-        handler(std::nullopt);
-        return;
-    }
-    if (order.kind == RankOrderKind::Prepare) {
-        auto map = m_maps.resolveMap(order);
-        if (!map) {
-            handler(OrderAnswer::BaseUnknown);
-            return;
-        }
-        order.map = std::move(*map);
-    }
-    m_caller.post(std::chrono::steady_clock::now(),
-                  m_ownServer->address,
-                  m_rankDialect.orderTarget,
-                  "application/json",
-                  m_rankDialect.orderBody(order),
-                  rankTimeout,
-                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                      handler(orderAnswer(reply));
+                      handler(decodeReply(reply, reason, decodeOrderAnswers).value.value_or(OrderAnswers{}));
                   });
 }
 
@@ -560,7 +434,7 @@
         return;
     }
     m_nextOwnStateAt = now + ownStatePeriod;
-    queryRank<RankState>(m_rankDialect.stateTarget, m_rankDialect.readState, [this](Result<RankState> state) {
+    m_rank.readState([this](Result<RankState> state) {
         m_ownState = std::move(state.value);
     });
 }
@@ -569,7 +443,7 @@
 void ExpertAgent::updateInitialMap(const RoutingService *service)
 {
     if (service != nullptr && service->experts && m_ownState) {
-        m_maps.setInitialMap(service->experts->layers, service->experts->experts, m_ownState->size);
+        m_rank.setInitialMap(service->experts->layers, service->experts->experts, m_ownState->size);
     }
 }
 
--- a/src/expert_agent.h
+++ b/src/expert_agent.h
@@ -4,9 +4,7 @@
 #include "expert_agent_settings.h"
 #include "group_coordinator.h"
 #include "http_server.h"
-#include "map_delta.h"
-#include "rank_dialect.h"
-#include "rank_report.h"
+#include "rank_client.h"
 #include "routing_table.h"
 #include "store_reader.h"
 
@@ -36,7 +34,7 @@
     void setReload(std::function<SettingsParseResult<ExpertAgentSettings>()> read);
 
 private:
-    using ReportHandler = std::function<void(Result<GroupReport>)>;
+    using ReportHandler = RankClient::ReportHandler;
 
     void waitForSignal();
     void reload();
@@ -48,18 +46,10 @@
     void replyReport(const RankQuery &query, const std::shared_ptr<HttpResponder> &responder);
     void collectReport(const RankQuery &query, ReportHandler handler);
     void queryAgent(const RankQuery &query, std::chrono::milliseconds timeout, ReportHandler handler);
-    template<typename T>
-    void queryRank(const std::string &target,
-                   const std::function<Result<T>(std::string_view)> &read,
-                   std::function<void(Result<T>)> handler);
-    void readReport(const RankQuery &query, ReportHandler handler);
-    void readChoices(GroupReport report, const RankQuery &query, ReportHandler handler);
-    void readHeld(GroupReport report, const RankQuery &query, ReportHandler handler);
     void onOrder(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void replyLoads(const std::shared_ptr<HttpResponder> &responder);
     void collectAnswers(const GroupOrder &order, GroupLink::OrderHandler handler);
     void sendOrder(const GroupOrder &order, GroupLink::OrderHandler handler);
-    void executeOrder(RankOrder order, std::function<void(std::optional<OrderAnswer>)> handler);
     std::chrono::milliseconds transferTime(std::size_t bytes) const;
     std::size_t choiceBytes() const;
     void updateGroup();
@@ -73,7 +63,6 @@
     asio::io_context &m_io;
     ExpertAgentSettings m_settings;
     GatewayDialect m_dialect;
-    RankDialect m_rankDialect;
     GroupCoordinatorConfig m_coordinatorConfig;
     std::string m_ip;
     std::uint16_t m_peerPort;
@@ -86,11 +75,10 @@
     StoreReader m_configReader;
     StoreReader m_serverReader;
     HttpCaller m_caller;
+    RankClient m_rank; ///< The server on this machine.
     HttpServer m_peerServer;
     std::unique_ptr<GroupCoordinator> m_coordinator;
     std::optional<RankState> m_ownState;
-    ChoiceCounter m_choiceCounter; ///< Of the server on this machine.
-    MapCache m_maps;
     GroupLoadCache m_loads; ///< Of the group, as sent by the coordinator.
     TimePoint m_nextOwnStateAt{};
     asio::steady_timer m_timer;
--- a/src/feed_follower.cpp
+++ b/src/feed_follower.cpp
@@ -70,15 +70,15 @@
     return Poll{m_reader, {m_cursor, wait}, wait + pollTimeout};
 }
 
-bool FeedFollower::onNews(TimePoint now, const FeedNews &news)
+bool FeedFollower::onReport(TimePoint now, const FeedReport &report)
 {
     m_isPolling = false;
-    if (news.serversAge > maxAge || news.configAge > maxAge || isFollowed(now)) {
+    if (report.serversAge > maxAge || report.configAge > maxAge || isFollowed(now)) {
         leave(now);
         return false;
     }
     m_isFollowing = true;
-    m_cursor = news.cursor;
+    m_cursor = report.cursor;
     m_nextPollAt = now;
     return true;
 }
--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -34,7 +34,7 @@
     /** Returns the next poll if it is due. @p peers: other gateways of the domain that were alive lately. */
     std::optional<Poll> tick(TimePoint now, const std::vector<std::string> &peers);
     /** Handles the answer to the poll; returns whether its facts may be used. */
-    bool onNews(TimePoint now, const FeedNews &news);
+    bool onReport(TimePoint now, const FeedReport &report);
     /** Called if the poll was not answered. */
     void onFailure(TimePoint now);
     /** Called when another gateway follows this one, which must therefore read the store itself. */
--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -23,17 +23,6 @@
 constexpr int statusUnavailable = 503;
 const std::string messagePackType = "application/msgpack";
 
-Result<FeedNews> readReply(const std::optional<HttpReply> &reply, const std::string &reason)
-{
-    if (!reply) {
-        return Result<FeedNews>::fail(reason);
-    }
-    if (reply->status != statusOk) {
-        return Result<FeedNews>::fail("status " + std::to_string(reply->status));
-    }
-    return decodeFeedNews(reply->body);
-}
-
 } // namespace
 
 FeedRelay::FeedRelay(asio::io_context &io, const std::string &ownAddress, Handlers handlers, std::mt19937_64 &random)
@@ -77,16 +66,16 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const bool wasFollowing = m_follower.isFollowing();
-    auto news = readReply(reply, reason);
-    if (!news) {
+    auto report = decodeReply(reply, reason, decodeFeedReport);
+    if (!report) {
         m_follower.onFailure(now);
-        logTransition(wasFollowing, reader, news.reason);
+        logTransition(wasFollowing, reader, report.reason);
         return;
     }
-    const bool isUsable = m_follower.onNews(now, *news.value);
+    const bool isUsable = m_follower.onReport(now, *report.value);
     logTransition(wasFollowing, reader, "its facts are old");
     if (isUsable) {
-        m_handlers.onNews(polledAt, std::move(*news.value));
+        m_handlers.onReport(polledAt, std::move(*report.value));
     }
 }
 
@@ -130,7 +119,7 @@
     answerDue(std::chrono::steady_clock::now());
 }
 
-bool FeedRelay::isDue(TimePoint now, const HeldPoll &held, const FeedNews &facts) const
+bool FeedRelay::isDue(TimePoint now, const HeldPoll &held, const FeedReport &facts) const
 {
     const bool isRecent = facts.serversAge < recentAge && facts.configAge < recentAge;
     const auto wait = std::min(isRecent ? held.poll.wait : std::max(held.poll.wait, refreshWait), maxWait);
@@ -154,14 +143,14 @@
     }
 }
 
-void FeedRelay::answer(const HeldPoll &held, const FeedNews &facts)
+void FeedRelay::answer(const HeldPoll &held, const FeedReport &facts)
 {
-    auto news = facts;
-    news.cursor = m_log.end();
-    news.servers = m_log.changesAfter(held.poll.cursor);
+    auto report = facts;
+    report.cursor = m_log.end();
+    report.servers = m_log.changesAfter(held.poll.cursor);
     // Rounded down, so that the facts seem no more recent than they are.
-    news.held = std::chrono::floor<std::chrono::milliseconds>(BootClock::now() - held.arrivedBootAt);
-    held.responder->reply(statusOk, {{"Content-Type", messagePackType}}, encodeFeedNews(news));
+    report.held = std::chrono::floor<std::chrono::milliseconds>(BootClock::now() - held.arrivedBootAt);
+    held.responder->reply(statusOk, {{"Content-Type", messagePackType}}, encodeFeedReport(report));
 }
 
 void FeedRelay::stop()
--- a/src/feed_relay.h
+++ b/src/feed_relay.h
@@ -25,9 +25,9 @@
     struct Handlers
     {
         /** Returns the ages, the outage and the version of the configuration that this gateway has read itself. */
-        std::function<FeedNews()> ownFacts;
+        std::function<FeedReport()> ownFacts;
         /** Called with the answer of the reader to a poll that was sent at @p polledAt. */
-        std::function<void(BootTime polledAt, FeedNews news)> onNews;
+        std::function<void(BootTime polledAt, FeedReport report)> onReport;
         /** Called when another gateway begins to follow this one. */
         std::function<void()> onFollowed;
     };
@@ -74,9 +74,9 @@
                  BootTime polledAt,
                  const std::optional<HttpReply> &reply,
                  const std::string &reason);
-    bool isDue(TimePoint now, const HeldPoll &held, const FeedNews &facts) const;
+    bool isDue(TimePoint now, const HeldPoll &held, const FeedReport &facts) const;
     void answerDue(TimePoint now);
-    void answer(const HeldPoll &held, const FeedNews &facts);
+    void answer(const HeldPoll &held, const FeedReport &facts);
     void logTransition(bool wasFollowing, const std::string &reader, const std::string &reason);
 
     Handlers m_handlers;
--- a/src/feed_relay_codec.cpp
+++ b/src/feed_relay_codec.cpp
@@ -43,24 +43,24 @@
     return {unpackCursor(json), readMs(json, "wait_ms")};
 }
 
-FeedNews unpackNews(const Json &json)
+FeedReport unpackReport(const Json &json)
 {
-    FeedNews news;
-    news.cursor = unpackCursor(json);
+    FeedReport report;
+    report.cursor = unpackCursor(json);
     if (const auto &era = json.at("era"); !era.is_null()) {
-        news.servers.position.era = era.get<StoreEra>();
+        report.servers.position.era = era.get<StoreEra>();
     }
-    news.servers.position.revision = json.at("revision").get<std::uint64_t>();
-    news.servers.isSnapshot = json.at("all").get<bool>();
+    report.servers.position.revision = json.at("revision").get<std::uint64_t>();
+    report.servers.isSnapshot = json.at("all").get<bool>();
     for (const auto &it : json.at("items")) {
-        news.servers.items.push_back(unpackItem(it));
+        report.servers.items.push_back(unpackItem(it));
     }
-    news.serversAge = readMs(json, "servers_age_ms");
-    news.outage = readMs(json, "outage_ms");
-    news.configVersion = json.at("config").get<std::uint64_t>();
-    news.configAge = readMs(json, "config_age_ms");
-    news.held = readMs(json, "held_ms");
-    return news;
+    report.serversAge = readMs(json, "servers_age_ms");
+    report.outage = readMs(json, "outage_ms");
+    report.configVersion = json.at("config").get<std::uint64_t>();
+    report.configAge = readMs(json, "config_age_ms");
+    report.held = readMs(json, "held_ms");
+    return report;
 }
 
 template<typename T>
@@ -92,30 +92,30 @@
     return unpack(bytes, unpackPoll);
 }
 
-std::string encodeFeedNews(const FeedNews &news)
+std::string encodeFeedReport(const FeedReport &report)
 {
-    const auto &position = news.servers.position;
+    const auto &position = report.servers.position;
     auto items = Json::array();
-    for (const auto &it : news.servers.items) {
+    for (const auto &it : report.servers.items) {
         items.push_back(packItem(it));
     }
     return pack({{"format", formatNumber},
-                 {"log", news.cursor.log},
-                 {"change", news.cursor.change},
+                 {"log", report.cursor.log},
+                 {"change", report.cursor.change},
                  {"era", position.era ? Json(*position.era) : Json()},
                  {"revision", position.revision},
-                 {"all", news.servers.isSnapshot},
+                 {"all", report.servers.isSnapshot},
                  {"items", std::move(items)},
-                 {"servers_age_ms", news.serversAge.count()},
-                 {"outage_ms", news.outage.count()},
-                 {"config", news.configVersion},
-                 {"config_age_ms", news.configAge.count()},
-                 {"held_ms", news.held.count()}});
+                 {"servers_age_ms", report.serversAge.count()},
+                 {"outage_ms", report.outage.count()},
+                 {"config", report.configVersion},
+                 {"config_age_ms", report.configAge.count()},
+                 {"held_ms", report.held.count()}});
 }
 
-Result<FeedNews> decodeFeedNews(std::string_view bytes)
+Result<FeedReport> decodeFeedReport(std::string_view bytes)
 {
-    return unpack(bytes, unpackNews);
+    return unpack(bytes, unpackReport);
 }
 
 } // namespace turmericline
--- a/src/feed_relay_codec.h
+++ b/src/feed_relay_codec.h
@@ -14,7 +14,7 @@
 /** Encodes messages between gateways as MessagePack with a format number. Decoding never throws. */
 std::string encodeFeedPoll(const FeedPoll &poll);
 Result<FeedPoll> decodeFeedPoll(std::string_view bytes);
-std::string encodeFeedNews(const FeedNews &news);
-Result<FeedNews> decodeFeedNews(std::string_view bytes);
+std::string encodeFeedReport(const FeedReport &report);
+Result<FeedReport> decodeFeedReport(std::string_view bytes);
 
 } // namespace turmericline
--- a/src/feed_relay_type.h
+++ b/src/feed_relay_type.h
@@ -26,7 +26,7 @@
 };
 
 /** Answer to a FeedPoll. All ages are those at the time of the answer. */
-struct FeedNews
+struct FeedReport
 {
     FeedCursor cursor; ///< After these changes.
     StoreChange servers;
--- a/src/gateway_feeds.cpp
+++ b/src/gateway_feeds.cpp
@@ -72,8 +72,8 @@
     handlers.ownFacts = [this] {
         return ownFacts();
     };
-    handlers.onNews = [this](BootTime polledAt, FeedNews news) {
-        onNews(polledAt, std::move(news));
+    handlers.onReport = [this](BootTime polledAt, FeedReport report) {
+        onReport(polledAt, std::move(report));
     };
     handlers.onFollowed = [this] {
         m_configReader.requestRead();
@@ -151,22 +151,22 @@
     }
 }
 
-void GatewayFeeds::onNews(BootTime polledAt, FeedNews news)
+void GatewayFeeds::onReport(BootTime polledAt, FeedReport report)
 {
     const auto now = std::chrono::steady_clock::now();
-    m_relayedServersAt = later(m_relayedServersAt, confirmedAt(polledAt, news.held, news.serversAge));
-    onServers(now, std::move(news.servers), news.outage);
+    m_relayedServersAt = later(m_relayedServersAt, confirmedAt(polledAt, report.held, report.serversAge));
+    onServers(now, std::move(report.servers), report.outage);
     const auto version = m_handlers.configVersion();
-    if (news.configVersion > version) {
+    if (report.configVersion > version) {
         m_configReader.requestRead();
-    } else if (news.configVersion == version && version > 0) {
-        m_relayedConfigAt = later(m_relayedConfigAt, confirmedAt(polledAt, news.held, news.configAge));
+    } else if (report.configVersion == version && version > 0) {
+        m_relayedConfigAt = later(m_relayedConfigAt, confirmedAt(polledAt, report.held, report.configAge));
     }
 }
 
-FeedNews GatewayFeeds::ownFacts() const
+FeedReport GatewayFeeds::ownFacts() const
 {
-    FeedNews facts;
+    FeedReport facts;
     facts.serversAge = ageOf(m_serverReader.feed().confirmedAt());
     facts.configAge = ageOf(m_configReader.feed().confirmedAt());
     facts.configVersion = m_handlers.configVersion();
--- a/src/gateway_feeds.h
+++ b/src/gateway_feeds.h
@@ -67,8 +67,8 @@
 
 private:
     void onServers(TimePoint now, StoreChange change, std::chrono::milliseconds outage);
-    void onNews(BootTime polledAt, FeedNews news);
-    FeedNews ownFacts() const;
+    void onReport(BootTime polledAt, FeedReport report);
+    FeedReport ownFacts() const;
 
     Handlers m_handlers;
     std::mt19937_64 &m_random;
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -13,7 +13,7 @@
 /** The steady clock stands still while the machine is suspended, so the gossip cannot see the time that passed. */
 constexpr std::chrono::milliseconds minSuspension{500};
 constexpr std::chrono::seconds expiryPeriod{10};
-/** In a large fleet, news of a gateway takes several rounds of gossip to arrive. */
+/** In a large fleet, several rounds of gossip pass until a gateway is heard of again. */
 constexpr std::chrono::seconds nearPeerAge{20};
 constexpr std::size_t maxMessageBytes = 64U << 10U;
 constexpr int statusOk = 200;
@@ -30,17 +30,6 @@
     return settings;
 }
 
-Result<GossipMessage> readReply(const std::optional<HttpReply> &reply, const std::string &reason)
-{
-    if (!reply) {
-        return Result<GossipMessage>::fail(reason);
-    }
-    if (reply->status != statusOk) {
-        return Result<GossipMessage>::fail("status " + std::to_string(reply->status));
-    }
-    return decodeGossip(reply->body);
-}
-
 void logReports(TimePoint now, const std::vector<CrashReport> &reports, const SuspectTable &table)
 {
     for (const auto &it : reports) {
@@ -184,7 +173,7 @@
                               const std::optional<HttpReply> &reply,
                               const std::string &reason)
 {
-    const auto message = readReply(reply, reason);
+    const auto message = decodeReply(reply, reason, decodeGossip);
     if (!message) {
         logEvent(LogLevel::Debug, "no answer from a gateway", {{"peer", address}, {"reason", message.reason}});
         return;
--- a/src/group_coordinator.cpp
+++ b/src/group_coordinator.cpp
@@ -3,7 +3,6 @@
 #include "log.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace turmericline {
 
@@ -49,8 +48,7 @@
     , m_balancer(config.balancer, layout, ranks)
     , m_lastReports(ranks)
 {
-    const auto width = std::min<std::uint32_t>(
-        maxRanksPerQuery, static_cast<std::uint32_t>(std::ceil(std::sqrt(static_cast<double>(ranks)))));
+    const auto width = ranksPerBlock(ranks);
     for (std::uint32_t n = 0; n < ranks; n += width) {
         m_blocks.push_back({n, std::min(width, static_cast<std::uint32_t>(ranks) - n)});
         m_blocks.back().carriesLoads = true;
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -65,4 +65,20 @@
     std::vector<std::shared_ptr<Call>> m_calls;
 };
 
+/** Decodes the body of a successful reply with @p decode; fails with the reason why there is none. */
+template<typename Decode>
+auto decodeReply(const std::optional<HttpReply> &reply, const std::string &reason, Decode decode)
+    -> decltype(decode(std::string_view()))
+{
+    using Decoded = decltype(decode(std::string_view()));
+    constexpr int success = 200;
+    if (!reply) {
+        return Decoded::fail(reason);
+    }
+    if (reply->status != success) {
+        return Decoded::fail("status " + std::to_string(reply->status));
+    }
+    return decode(reply->body);
+}
+
 } // namespace turmericline
--- a/src/rank_load_reader.cpp
+++ b/src/rank_load_reader.cpp
@@ -15,7 +15,6 @@
 /** Interval after a failed query. The next one goes to another agent. */
 constexpr std::chrono::milliseconds failurePeriod{200};
 constexpr std::chrono::milliseconds queryTimeout{250};
-constexpr int statusOk = 200;
 
 } // namespace
 
@@ -69,9 +68,7 @@
 {
     auto &group = m_groups[name];
     group.isQueryPending = false;
-    auto loads = !reply                      ? Result<GroupLoads>::fail(reason)
-                 : reply->status != statusOk ? Result<GroupLoads>::fail("status " + std::to_string(reply->status))
-                                             : decodeGroupLoads(reply->body);
+    const auto loads = decodeReply(reply, reason, decodeGroupLoads);
     if (!loads || loads.value->group != name) {
         group.nextQueryAt = std::chrono::steady_clock::now() + failurePeriod;
         logEvent(LogLevel::Debug, "loads of a group not read", {{"group", name}, {"reason", loads.reason}});
--- a/src/rank_report.cpp
+++ b/src/rank_report.cpp
@@ -1,11 +1,18 @@
 #include "rank_report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
 namespace turmericline {
 
+std::uint32_t ranksPerBlock(std::size_t ranks)
+{
+    const auto width = static_cast<std::uint32_t>(std::ceil(std::sqrt(static_cast<double>(ranks))));
+    return std::min(maxRanksPerQuery, width);
+}
+
 void merge(GroupReport &report, GroupReport more)
 {
     std::move(more.ranks.begin(), more.ranks.end(), std::back_inserter(report.ranks));
--- a/src/rank_report.h
+++ b/src/rank_report.h
@@ -37,6 +37,9 @@
 /** Most ranks per query: the square root of the largest supported group size. */
 inline constexpr std::uint32_t maxRanksPerQuery = 64;
 
+/** Number of ranks in each block of a group, but for the last one. */
+std::uint32_t ranksPerBlock(std::size_t ranks);
+
 /** Adds the ranks and choices of @p more to @p report. */
 void merge(GroupReport &report, GroupReport more);
 
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(forgedStatementIsIgnored);
     CPPUNIT_TEST(serverThatAsksToWaitGetsNoRequests);
     CPPUNIT_TEST(callersAreToldWhenTheFirstServerWantsRequests);
+    CPPUNIT_TEST(returnsAfterARefusalAreSpread);
     CPPUNIT_TEST_SUITE_END();
 
     ExchangeFixture m_fixture;
@@ -417,6 +418,33 @@
         CPPUNIT_ASSERT(it.serversOf(50).contains(waiting));
     }
 
+    /** At full load, callers that all came back after the same time met each other again. */
+    void returnsAfterARefusalAreSpread()
+    {
+        for (const auto fault : {BackendFault::Full, BackendFault::Stalled}) {
+            StatementFixture it;
+            for (const char *id : {"a", "b", "c"}) {
+                it.backends.onFault(it.now, id, fault);
+            }
+            auto first = 10'000ms;
+            auto last = 0ms;
+            for (int n = 0; n < 200; ++n) {
+                auto exchange = it.make();
+                const auto actions = exchange.start(it.now);
+                const auto time = *ExchangeFixture::find<Reply>(actions)->retryAfter;
+                first = std::min(first, time);
+                last = std::max(last, time);
+            }
+            // The latency target is 500 ms, and callers honour a third of the 5 s that they have left.
+            CPPUNIT_ASSERT(last <= 1'667ms && last > 1'500ms);
+            if (fault == BackendFault::Full) {
+                CPPUNIT_ASSERT(first >= 400ms && first < 600ms);
+            } else {
+                CPPUNIT_ASSERT(first >= 1'200ms);
+            }
+        }
+    }
+
     void callersAreToldWhenTheFirstServerWantsRequests()
     {
         StatementFixture it;
--- a/tests/unit_feed_relay_test.cpp
+++ b/tests/unit_feed_relay_test.cpp
@@ -47,11 +47,11 @@
         return all;
     }
 
-    static FeedNews freshNews()
+    static FeedReport freshReport()
     {
-        FeedNews news;
-        news.cursor = {5, 1};
-        return news;
+        FeedReport report;
+        report.cursor = {5, 1};
+        return report;
     }
 
     /** An address that follows another one of @p all. */
@@ -102,7 +102,7 @@
         const auto poll = follower.tick(m_now, without(all, own));
         CPPUNIT_ASSERT(poll->poll.wait == 0ms);
         CPPUNIT_ASSERT(!follower.isFollowing());
-        CPPUNIT_ASSERT(follower.onNews(m_now, freshNews()));
+        CPPUNIT_ASSERT(follower.onReport(m_now, freshReport()));
         CPPUNIT_ASSERT(follower.isFollowing());
         const auto next = follower.tick(m_now, without(all, own));
         CPPUNIT_ASSERT(next->poll.cursor == (FeedCursor{5, 1}));
@@ -119,14 +119,14 @@
     {
         const auto all = addresses(30);
         const auto own = followerOf(all);
-        for (const auto member : {&FeedNews::serversAge, &FeedNews::configAge}) {
+        for (const auto member : {&FeedReport::serversAge, &FeedReport::configAge}) {
             FeedFollower follower(own);
             follower.tick(m_now, without(all, own));
-            CPPUNIT_ASSERT(follower.onNews(m_now, freshNews()));
+            CPPUNIT_ASSERT(follower.onReport(m_now, freshReport()));
             follower.tick(m_now, without(all, own));
-            auto news = freshNews();
-            news.*member = 2s;
-            CPPUNIT_ASSERT(!follower.onNews(m_now, news));
+            auto report = freshReport();
+            report.*member = 2s;
+            CPPUNIT_ASSERT(!follower.onReport(m_now, report));
             CPPUNIT_ASSERT(!follower.isFollowing());
         }
     }
@@ -138,7 +138,7 @@
         const auto own = followerOf(all);
         FeedFollower follower(own);
         follower.tick(m_now, without(all, own));
-        CPPUNIT_ASSERT(follower.onNews(m_now, freshNews()));
+        CPPUNIT_ASSERT(follower.onReport(m_now, freshReport()));
         follower.onFollowed(m_now);
         CPPUNIT_ASSERT(!follower.isFollowing());
         CPPUNIT_ASSERT(!follower.tick(m_now + 1s, without(all, own)));
@@ -235,28 +235,28 @@
     {
         const auto poll = decodeFeedPoll(encodeFeedPoll({{5, 6}, 500ms}));
         CPPUNIT_ASSERT(poll.value->cursor == (FeedCursor{5, 6}) && poll.value->wait == 500ms);
-        FeedNews news;
-        news.cursor = {7, 8};
-        news.servers = {{{"a", std::string("\xff\0x", 3), false}, {"b", "", true}}, true, {StoreEra{3}, 9}, {}};
-        news.serversAge = 1ms;
-        news.outage = 2ms;
-        news.configVersion = 10;
-        news.configAge = 3ms;
-        news.held = 4ms;
-        const auto back = decodeFeedNews(encodeFeedNews(news));
+        FeedReport report;
+        report.cursor = {7, 8};
+        report.servers = {{{"a", std::string("\xff\0x", 3), false}, {"b", "", true}}, true, {StoreEra{3}, 9}, {}};
+        report.serversAge = 1ms;
+        report.outage = 2ms;
+        report.configVersion = 10;
+        report.configAge = 3ms;
+        report.held = 4ms;
+        const auto back = decodeFeedReport(encodeFeedReport(report));
         CPPUNIT_ASSERT_EQUAL(std::string(), back.reason);
-        CPPUNIT_ASSERT(back.value->cursor == news.cursor && back.value->servers.position == news.servers.position);
+        CPPUNIT_ASSERT(back.value->cursor == report.cursor && back.value->servers.position == report.servers.position);
         CPPUNIT_ASSERT(back.value->servers.isSnapshot
-                       && back.value->servers.items[0].value == news.servers.items[0].value);
+                       && back.value->servers.items[0].value == report.servers.items[0].value);
         CPPUNIT_ASSERT(back.value->servers.items[1].isDeleted && back.value->serversAge == 1ms);
         CPPUNIT_ASSERT(back.value->outage == 2ms && back.value->configAge == 3ms && back.value->held == 4ms);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, back.value->configVersion);
-        const auto bytes = encodeFeedNews(news);
+        const auto bytes = encodeFeedReport(report);
         for (std::size_t n = 0; n < bytes.size(); ++n) {
-            CPPUNIT_ASSERT(!decodeFeedNews(std::string_view(bytes).substr(0, n)));
+            CPPUNIT_ASSERT(!decodeFeedReport(std::string_view(bytes).substr(0, n)));
             auto wrong = bytes;
             wrong[n] = static_cast<char>(wrong[n] ^ 0x55);
-            decodeFeedNews(wrong); // Must not throw.
+            decodeFeedReport(wrong); // Must not throw.
             decodeFeedPoll(wrong);
         }
     }
