Read and log the limits that servers state

The adapter decodes the field now, and each answer that states a limit leaves a line with the request, the server, its start and the limit. Nothing is decided by it yet.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -238,8 +238,8 @@
     if (fields.retryAfter) {
         m_context.backends.onRetryAfter(now, *m_server, *fields.retryAfter);
     }
-    if (isLeaving || fields.retryAfter) {
-        m_summary.statements.push_back({*m_server, isLeaving, fields.retryAfter});
+    if (isLeaving || fields.retryAfter || fields.requestLimit) {
+        m_summary.statements.push_back({*m_server, isLeaving, fields.retryAfter, fields.requestLimit});
     }
 }
 
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -62,6 +62,7 @@
     ServerIncarnation server;
     bool isLeaving = false; ///< Stated for the first time.
     std::optional<std::chrono::milliseconds> retryAfter;
+    std::optional<double> requestLimit; ///< Requests a second for all gateways together.
 };
 
 /** Sends the request to a backend server. */
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -75,11 +75,14 @@
 {
     for (const auto &it : exchange.summary().statements) {
         logEvent(LogLevel::Info,
-                 it.isLeaving ? "server states that it leaves" : "server wants no requests for a time",
+                 it.isLeaving    ? "server states that it leaves"
+                 : it.retryAfter ? "server wants no requests for a time"
+                                 : "server states a limit",
                  {{"request", exchange.request().caller.requestId},
                   {"server", it.server.id},
                   {"server_start_ms", it.server.startTimeMs},
-                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0}});
+                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0},
+                  {"limit_per_s", it.requestLimit.value_or(-1)}});
     }
 }
 
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -45,6 +45,8 @@
     bool isGroupFault = false; ///< Another rank of the server's group failed.
     bool isLeaving = false; ///< The server that answers takes no new requests soon.
     std::optional<std::chrono::milliseconds> retryAfter; ///< The server wants no requests of this gateway for so long.
+    std::optional<double> requestLimit; ///< Requests a second that the server takes from all gateways together.
+    bool hasInvalidLimit = false; ///< The server states a limit that is not a number of requests.
     std::optional<BackendLoad> load;
     std::optional<std::chrono::milliseconds> keepAlive; ///< Time after which the server closes an idle connection.
 };
--- a/tests/fuzz_platform_test.cpp
+++ b/tests/fuzz_platform_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(readsSharedPartsOfPrompts);
     CPPUNIT_TEST(parsesResponses);
     CPPUNIT_TEST(parsesRetryAfter);
+    CPPUNIT_TEST(parsesLimit);
     CPPUNIT_TEST(readsRanksAndWritesOrders);
     CPPUNIT_TEST(routesByConfigurationAndKey);
     CPPUNIT_TEST(codecRoundTrips);
@@ -204,6 +205,35 @@
         }
     }
 
+    /** A value that is no number of requests is reported as invalid, so that it does not replace an earlier limit. */
+    void parsesLimit()
+    {
+        HttpHead head;
+        head.status = 200;
+        const auto read = [&](const std::string &text) {
+            head.headers = {{"Server-Limit", text}};
+            return m_dialect.readResponseFields(head);
+        };
+        CPPUNIT_ASSERT(read("1").requestLimit == 1.0 && !read("1").hasInvalidLimit);
+        CPPUNIT_ASSERT(read("0.5").requestLimit == 0.5);
+        CPPUNIT_ASSERT(read("0").requestLimit == 0.0);
+        CPPUNIT_ASSERT(read("200.25").requestLimit == 200.25);
+        const std::string manyDigits(1U << 20U, '9');
+        for (const char *it :
+             {"", "-1", "-0", "nan", "inf", "-inf", "1e3", "x", "1s", "1,2", " 1", "+1", "0x10", manyDigits.c_str()}) {
+            const auto fields = read(it);
+            CPPUNIT_ASSERT_MESSAGE(it, !fields.requestLimit && fields.hasInvalidLimit);
+        }
+        head.headers = {{"Server-Limit", "1"}, {"server-limit", "1"}};
+        CPPUNIT_ASSERT(m_dialect.readResponseFields(head).hasInvalidLimit);
+        head.headers = {};
+        CPPUNIT_ASSERT(!m_dialect.readResponseFields(head).requestLimit);
+        CPPUNIT_ASSERT(!m_dialect.readResponseFields(head).hasInvalidLimit);
+        // The answer of another server at the address tells nothing about the expected one.
+        head.status = 421;
+        CPPUNIT_ASSERT(!read("1").requestLimit && !read("x").hasInvalidLimit);
+    }
+
     void readsRanksAndWritesOrders()
     {
         const auto ranks = platformRankDialect();
