--- a/fakes/fake_platform.cpp
+++ b/fakes/fake_platform.cpp
@@ -40,7 +40,12 @@
     for (const auto &[name, value] : request.headers) {
         it.headers[lowerCase(name)] = std::string(value);
     }
-    const HttpHeaders headers{{"Attempt-Id", it.headers["attempt-id"]}, {"Replica-Signature", "signed"}};
+    HttpHeaders refusalHeaders{{"Attempt-Id", it.headers["attempt-id"]}, {"Not-Executed", "1"}};
+    HttpHeaders headers{{"Attempt-Id", it.headers["attempt-id"]}, {"Replica-Signature", "signed"}};
+    if (!m_limit.empty()) {
+        refusalHeaders.emplace_back("Server-Limit", m_limit);
+        headers.emplace_back("Server-Limit", m_limit);
+    }
     m_received.push_back(std::move(it));
     if (m_isCrashing && m_isCrashing(m_received.back())) {
         hold(std::move(responder));
@@ -52,7 +57,7 @@
         responder->reply(200, headers, "answer");
         break;
     case Mode::Refuse:
-        responder->reply(503, {{"Attempt-Id", headers.front().second}, {"Not-Executed", "1"}}, "");
+        responder->reply(503, refusalHeaders, "");
         break;
     case Mode::Silent:
         ++m_unansweredCount;
--- a/fakes/fake_platform.h
+++ b/fakes/fake_platform.h
@@ -36,6 +36,12 @@
         m_mode = mode;
     }
 
+    /** States @p limit, requests a second, in all answers from now on; an empty text ends that. */
+    void setLimit(std::string limit)
+    {
+        m_limit = std::move(limit);
+    }
+
     /** A request of the given kind gets no answer; @p onCrash is called after it was received, to end this replica. */
     void crashOn(std::function<bool(const ReplicaRequest &)> isCrashing, std::function<void()> onCrash);
 
@@ -58,6 +64,7 @@
     std::function<bool(const ReplicaRequest &)> m_isCrashing;
     std::function<void()> m_onCrash;
     Mode m_mode = Mode::Answer;
+    std::string m_limit;
     std::vector<ReplicaRequest> m_received;
     std::size_t m_unansweredCount = 0;
     std::size_t m_cancelledCount = 0;
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -146,6 +146,18 @@
         });
     }
 
+    /** Server @p i states @p limit, requests a second, in its answers from now on; an empty text ends that. */
+    void stateLimit(std::size_t i, const std::string &limit)
+    {
+        m_servers[i].replica->setLimit(limit);
+    }
+
+    /** Number of requests that reached server @p i since its start. */
+    std::size_t arrivalsAt(std::size_t i) const
+    {
+        return m_servers[i].replica->received().size();
+    }
+
     /** Number of requests with the crashing part that reached servers, repeats of the gateways included. */
     std::size_t crashingPartArrivals() const
     {
