Keep the limits of servers over all gateways, by permits of one owner a server

What callers saw: nothing yet, but a server in need that had stated a limit of 1 request a second, for all gateways together, got 2.4 a second, and would have got less only if its load had kept gateways away.

Cause: the statement was read by nothing, and whatever a server says of itself is kept by each gateway alone.

Change: the limit spreads through the messages of gateways, with the name of one gateway, the owner, which grants a permit for each request: 0.85 of the limit. A tenth is divided among all gateways for those that do not reach the owner. A new owner grants nothing for a second; an owner in a minority grants nothing. Requests without a permit go to other servers, or are refused at once with a Retry-After from the time at which there is room. A higher limit, or none, counts only from an answer whose request was sent after the last answer with the lower one. A server that takes none is asked by health checks.

Weighed: equal shares (a limit of 0.5 over 1,900 gateways gives each one request an hour), a few gateways chosen by server (their callers may not come), and the leases of the own fleet's quotas (up to two seconds of the limit more).

--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -176,6 +176,35 @@
     return reported * 2 > ranks;
 }
 
+bool BackendTable::isCandidate(TimePoint now,
+                               const Backend &backend,
+                               bool skipsUnreported,
+                               std::optional<std::chrono::milliseconds> latencyTarget) const
+{
+    if (!isOpen(backend) || std::max({backend.pausedUntil, backend.waitsUntil, backend.noPermitUntil}) > now) {
+        return false;
+    }
+    if (!isReported(now, backend)) {
+        return !skipsUnreported;
+    }
+    return load(now, backend) < backend.record.slots + maxWaiting(backend, latencyTarget);
+}
+
+std::optional<BackendPick>
+BackendTable::pick(TimePoint now, std::string_view id, std::optional<std::chrono::milliseconds> latencyTarget) const
+{
+    const auto *backend = find(id);
+    if (backend == nullptr) {
+        return std::nullopt;
+    }
+    const auto &record = backend->record;
+    const bool skipsUnreported = areMostReported(now, m_services.find(record.service)->second);
+    if (!isCandidate(now, *backend, skipsUnreported, latencyTarget)) {
+        return std::nullopt;
+    }
+    return BackendPick{{record.id, record.startTimeMs, record.domain}, record.address};
+}
+
 std::optional<BackendPick> BackendTable::choose(TimePoint now,
                                                 std::string_view service,
                                                 std::span<const std::string> tried,
@@ -192,19 +221,12 @@
     const bool skipsUnreported = areMostReported(now, servers->second);
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
-        if (!isOpen(*it) || it->pausedUntil > now || it->waitsUntil > now || wasTried) {
-            continue;
-        }
-        const bool isKnown = isReported(now, *it);
-        if (!isKnown && skipsUnreported) {
-            continue;
-        }
-        if (isKnown && load(now, *it) >= it->record.slots + maxWaiting(*it, latencyTarget)) {
+        if (wasTried || !isCandidate(now, *it, skipsUnreported, latencyTarget)) {
             continue;
         }
         candidates.push_back(it.get());
         scores.push_back(score(now, *it));
-        isFresh = isFresh && isKnown;
+        isFresh = isFresh && isReported(now, *it);
     }
     if (candidates.empty()) {
         return std::nullopt;
@@ -372,10 +394,24 @@
     }
 }
 
-std::optional<TimePoint> BackendTable::waitsUntil(TimePoint now, std::string_view service) const
+void BackendTable::onNoPermit(const ServerIncarnation &server, TimePoint until)
+{
+    if (auto *it = findRun(server)) {
+        it->noPermitUntil = until;
+    }
+}
+
+void BackendTable::onPermitsChanged(std::string_view id)
+{
+    if (auto *it = findMutable(id)) {
+        it->noPermitUntil = {};
+    }
+}
+
+std::optional<ServiceWait> BackendTable::waitOf(TimePoint now, std::string_view service) const
 {
     const auto servers = m_services.find(service);
-    std::optional<TimePoint> first;
+    std::optional<ServiceWait> first;
     if (servers == m_services.end()) {
         return first;
     }
@@ -383,10 +419,13 @@
         if (!isOpen(*it) || (it->pausedUntil > now && it->isDown)) {
             continue;
         }
-        if (it->waitsUntil <= now) {
+        const auto until = std::max(it->waitsUntil, it->noPermitUntil);
+        if (until <= now) {
             return std::nullopt;
         }
-        first = first ? std::min(*first, it->waitsUntil) : it->waitsUntil;
+        if (!first || until < first->until) {
+            first = ServiceWait{until, it->record.id, it->noPermitUntil > it->waitsUntil};
+        }
     }
     return first;
 }
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -69,6 +69,7 @@
     bool isWithheld = false; ///< Its last announcement is invalid, so it gets no requests until a valid one.
     bool isDown = false; ///< The pause was caused by a fault rather than a lack of capacity.
     TimePoint waitsUntil{}; ///< The server wants no requests of this gateway before this time.
+    TimePoint noPermitUntil{}; ///< The server has a limit, and there is no permit for this gateway before this time.
 };
 
 /** Why a server is paused. */
@@ -90,6 +91,14 @@
     {BackendFault::Stalled, "stalled"},
 }};
 
+/** When the first server of a service can take a request again. */
+struct ServiceWait
+{
+    TimePoint until{};
+    std::string server; ///< The one that is first.
+    bool isForPermit = false; ///< It has a limit and waits for a permit, instead of having stated the time itself.
+};
+
 struct BackendPick
 {
     ServerIncarnation server;
@@ -127,6 +136,9 @@
                                       std::span<const std::string> tried,
                                       std::mt19937_64 &random,
                                       std::optional<std::chrono::milliseconds> latencyTarget = std::nullopt) const;
+    /** Returns server @p id if choose() could choose it; nothing otherwise. */
+    std::optional<BackendPick>
+    pick(TimePoint now, std::string_view id, std::optional<std::chrono::milliseconds> latencyTarget) const;
     /** Whether no server of the service is usable. If false, unavailable servers are only short of capacity. */
     bool isDown(TimePoint now, std::string_view service) const;
 
@@ -140,8 +152,12 @@
     bool onLeaving(const ServerIncarnation &server);
     /** Called if the server wants no requests for @p time. A shorter time than one still running changes nothing. */
     void onRetryAfter(TimePoint now, const ServerIncarnation &server, std::chrono::milliseconds time);
-    /** If all servers that could take requests of the service want none, returns when the first one wants some again. */
-    std::optional<TimePoint> waitsUntil(TimePoint now, std::string_view service) const;
+    /** Called if this gateway gets no permit for a server with a limit before @p until. */
+    void onNoPermit(const ServerIncarnation &server, TimePoint until);
+    /** Called if there may be a permit earlier than that. */
+    void onPermitsChanged(std::string_view id);
+    /** If no server that could take requests of the service may get any now, returns when the first one may again. */
+    std::optional<ServiceWait> waitOf(TimePoint now, std::string_view service) const;
 
     /** Names of all groups of ranks. */
     std::vector<std::string> groups() const;
@@ -162,6 +178,11 @@
     static bool isReported(TimePoint now, const Backend &backend);
     /** Whether most ranks of the service are reported, so that the lack of a report tells that something is wrong. */
     static bool areMostReported(TimePoint now, std::span<const std::shared_ptr<Backend>> servers);
+    /** Whether requests may be sent to @p backend. @p skipsUnreported: only if its load is known. */
+    bool isCandidate(TimePoint now,
+                     const Backend &backend,
+                     bool skipsUnreported,
+                     std::optional<std::chrono::milliseconds> latencyTarget) const;
     double maxWaiting(const Backend &backend, std::optional<std::chrono::milliseconds> latencyTarget) const;
     static void pause(TimePoint now, Backend &backend, BackendFault fault);
     Backend *findMutable(std::string_view id);
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds soundAnswerTime{100};
 /** Time to probe a server after an attempt has failed. */
 constexpr std::chrono::milliseconds probeWait{100};
+/** If this many owners of limits have been asked for one request, it goes to servers without a limit only. */
+constexpr std::uint32_t maxPermitsAsked = 3;
+constexpr std::size_t maxLoggedDenials = 4;
 /** An attempt that was stopped after a shorter silence says nothing about the server. */
 constexpr std::chrono::milliseconds minSuspectSilence{500};
 
@@ -68,9 +71,7 @@
 {
     return head.status >= firstServerError && m_request.rule->isIdempotent() && hasAttemptsLeft()
            && suspectDecision(now).action != SuspectAction::Refuse
-           && now + m_request.rule->latencyTarget / 2 < effectiveDeadline()
-           && m_context.backends.choose(
-               now, m_request.service, m_tried, m_context.random, m_request.rule->latencyTarget)
+           && now + m_request.rule->latencyTarget / 2 < effectiveDeadline() && hasUnlimitedServer(now)
            && retries().tryAcquireRetry(now);
 }
 
@@ -140,11 +141,18 @@
         refuseSuspect(now, decision, actions);
         return;
     }
-    const auto pick
-        = m_context.backends.choose(now, m_request.service, m_tried, m_context.random, m_request.rule->latencyTarget);
+    const auto pick = chooseWithPermit(now, actions);
+    if (m_awaitedServer) {
+        return;
+    }
     if (!pick) {
+        const auto next = m_context.backends.waitOf(now, m_request.service);
+        const bool isLimited = next && next->isForPermit;
+        if (isLimited && m_summary.limitDenials.empty()) {
+            recordDenial(now, next->server, next->until);
+        }
         if (m_summary.reason.empty()) {
-            m_summary.reason = "no backend server can take the request";
+            m_summary.reason = isLimited ? "all servers are at their limits" : "no backend server can take the request";
         }
         giveUp(now, actions);
         return;
@@ -157,7 +165,7 @@
     m_lastProgressAt = now;
     m_firstEventAt.reset();
     m_body.clear();
-    m_tried.push_back(pick->server.id);
+    m_excluded.push_back(pick->server.id);
     m_context.backends.onStart(pick->server.id);
     ++m_summary.attempts;
     m_summary.server = pick->server.id;
@@ -172,6 +180,80 @@
     actions.emplace_back(std::move(next));
 }
 
+std::optional<BackendPick> Exchange::choose(TimePoint now)
+{
+    if (const auto server = std::exchange(m_preferredServer, std::nullopt)) {
+        if (auto pick = m_context.backends.pick(now, *server, m_request.rule->latencyTarget)) {
+            return pick;
+        }
+    }
+    return m_context.backends.choose(
+        now, m_request.service, m_excluded, m_context.random, m_request.rule->latencyTarget);
+}
+
+/** Chooses a server, and spends a permit if it has a limit. Returns nothing if there is none, or a permit is asked for. */
+std::optional<BackendPick> Exchange::chooseWithPermit(TimePoint now, ExchangeActions &actions)
+{
+    while (const auto pick = choose(now)) {
+        const auto decision = m_context.limits.take(now, pick->server);
+        switch (decision.verdict) {
+        case PermitVerdict::Unlimited:
+        case PermitVerdict::Granted:
+            m_hasPermit = decision.verdict == PermitVerdict::Granted;
+            return pick;
+        case PermitVerdict::Denied:
+            m_context.backends.onNoPermit(pick->server, decision.until);
+            recordDenial(now, pick->server.id, decision.until);
+            m_excluded.push_back(pick->server.id);
+            break;
+        case PermitVerdict::Ask:
+            if (m_permitsAsked < maxPermitsAsked) {
+                ++m_permitsAsked;
+                m_awaitedServer = pick->server.id;
+                actions.emplace_back(AskPermit{pick->server.id});
+                return std::nullopt;
+            }
+            recordDenial(now, pick->server.id, now);
+            m_excluded.push_back(pick->server.id);
+            break;
+        }
+    }
+    return std::nullopt;
+}
+
+void Exchange::recordDenial(TimePoint now, const std::string &server, TimePoint until)
+{
+    auto basis = m_context.limits.basis(now, server);
+    if (basis && m_summary.limitDenials.size() < maxLoggedDenials) {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(until - now);
+        m_summary.limitDenials.push_back({server, std::move(*basis), wait});
+    }
+}
+
+/** Whether a repeat can be sent without a permit; the failure of the server stands otherwise. */
+bool Exchange::hasUnlimitedServer(TimePoint now) const
+{
+    auto excluded = m_excluded;
+    while (true) {
+        const auto pick = m_context.backends.choose(
+            now, m_request.service, excluded, m_context.random, m_request.rule->latencyTarget);
+        if (!pick || !m_context.limits.isLimited(pick->server.id)) {
+            return pick.has_value();
+        }
+        excluded.push_back(pick->server.id);
+    }
+}
+
+ExchangeActions Exchange::onPermitAnswer(TimePoint now)
+{
+    ExchangeActions actions;
+    if (!m_isEnded && m_awaitedServer) {
+        m_preferredServer = std::exchange(m_awaitedServer, std::nullopt);
+        attempt(now, actions);
+    }
+    return actions;
+}
+
 ExchangeActions Exchange::onHead(TimePoint now, const HttpHead &head, const ResponseFields &fields)
 {
     ExchangeActions actions;
@@ -238,8 +320,12 @@
     if (fields.retryAfter) {
         m_context.backends.onRetryAfter(now, *m_server, *fields.retryAfter);
     }
-    if (isLeaving || fields.retryAfter || fields.requestLimit) {
-        m_summary.statements.push_back({*m_server, isLeaving, fields.retryAfter, fields.requestLimit});
+    const bool hasInvalidLimit = fields.hasInvalidLimit && m_context.limits.onInvalidStatement(m_server->id);
+    if (!fields.hasInvalidLimit && !fields.isMisdirected) {
+        m_context.limits.onStatement(now, m_attemptAt, {m_server->id, m_server->startTimeMs, fields.requestLimit});
+    }
+    if (isLeaving || fields.retryAfter || hasInvalidLimit) {
+        m_summary.statements.push_back({*m_server, isLeaving, fields.retryAfter, hasInvalidLimit});
     }
 }
 
@@ -340,6 +426,11 @@
 {
     m_context.backends.onEnd(m_server->id);
     m_context.backends.onFault(now, m_server->id, failure.fault);
+    const bool isUnreached = failure.fault == BackendFault::Unreachable || failure.fault == BackendFault::Misdirected;
+    if (std::exchange(m_hasPermit, false) && failure.verdict == Verdict::NotRun && isUnreached) {
+        m_context.limits.giveBack(now, m_server->id);
+        m_context.backends.onPermitsChanged(m_server->id);
+    }
     recordFailure(now, failure.verdict, failure.fault, failure.reason);
     m_failedServer = std::exchange(m_server, std::nullopt);
     m_summary.reason = failure.reason;
@@ -439,10 +530,11 @@
         return std::chrono::milliseconds(
             std::uniform_int_distribution<std::int64_t>(a.count(), b.count())(m_context.random));
     };
-    if (const auto end = backends.waitsUntil(now, m_request.service)) {
-        // The servers have said when they want requests again. Returns are spread over the time after that.
-        const auto wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(*end - now), 1ms, longest);
-        return between(wait, std::min(wait * 5 / 4, longest));
+    if (const auto next = backends.waitOf(now, m_request.service)) {
+        // It is known when the first server takes requests again. Returns are spread over the time after that; widely if
+        // it has a limit, since it takes one after the other then.
+        const auto wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(next->until - now), 1ms, longest);
+        return between(wait, next->isForPermit ? longest : std::min(wait * 5 / 4, longest));
     }
     // A refused request misses its latency target anyway. Returns are spread over the time in which the caller may come
     // back, so that those refused in a peak do not come back as the next one. An outage usually lasts longer than that.
@@ -501,6 +593,7 @@
     if (m_isEnded) {
         return actions;
     }
+    m_awaitedServer.reset();
     if (m_server) {
         abandonAttempt(now, "the caller closed the connection", actions);
     }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -22,6 +22,7 @@
     SuspectTable &suspects;
     PartSuspects &parts;
     CrashDetector &crashes;
+    ServerLimits &limits;
     std::mt19937_64 &random;
 };
 
@@ -34,6 +35,9 @@
  *
  * If the server of a request ends under it, and a part of its prompt may be the cause, the request is not resent, since
  * it could end a server of another group as well. Its caller may come back.
+ *
+ * A request to a server with a limit needs a permit. If that has to be asked for, the request waits for the answer; without
+ * a permit it goes to another server, or is refused at once if there is none.
  */
 class Exchange
 {
@@ -41,6 +45,8 @@
     Exchange(ExchangeRequest request, ExchangeContext context);
 
     ExchangeActions start(TimePoint now);
+    /** The owner of a limit has answered, or not in time. */
+    ExchangeActions onPermitAnswer(TimePoint now);
     ExchangeActions onHead(TimePoint now, const HttpHead &head, const ResponseFields &fields);
     ExchangeActions onBody(TimePoint now, std::string_view bytes);
     /** The response is complete according to its framing. */
@@ -70,6 +76,7 @@
         std::optional<std::chrono::milliseconds> firstByte;
         std::vector<FailedAttempt> failedAttempts;
         std::vector<ServerStatement> statements;
+        std::vector<LimitDenial> limitDenials;
         bool hasClearedSuspicion = false; ///< The request was suspected of crashing servers, and has completed.
     };
     const Summary &summary() const
@@ -91,6 +98,10 @@
     TimePoint effectiveDeadline() const;
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
+    std::optional<BackendPick> choose(TimePoint now);
+    std::optional<BackendPick> chooseWithPermit(TimePoint now, ExchangeActions &actions);
+    void recordDenial(TimePoint now, const std::string &server, TimePoint until);
+    bool hasUnlimitedServer(TimePoint now) const;
     void applyStatements(TimePoint now, const ResponseFields &fields);
     void endAttempt(TimePoint now, const AttemptFailure &failure);
     void abandonAttempt(TimePoint now, std::string reason, ExchangeActions &actions);
@@ -108,8 +119,12 @@
     ExchangeContext m_context;
     Summary m_summary;
     EventSplitter m_events;
-    std::vector<std::string> m_tried;
+    std::vector<std::string> m_excluded; ///< Servers that were tried, or whose limits have no room.
     std::optional<ServerIncarnation> m_server; ///< Server of the current attempt.
+    bool m_hasPermit = false; ///< The current attempt has spent a permit.
+    std::optional<std::string> m_awaitedServer; ///< Server for which a permit has been asked for.
+    std::optional<std::string> m_preferredServer; ///< The same, after the answer; chosen before others.
+    std::uint32_t m_permitsAsked = 0;
     std::uint32_t m_unreachedAttempts = 0; ///< Attempts that did not reach a server.
     TimePoint m_attemptAt{};
     TimePoint m_lastProgressAt{}; ///< Start of the attempt, head of the answer, or last bytes; of a stream, last event.
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -2,6 +2,7 @@
 
 #include "gateway_dialect.h"
 #include "routing_table.h"
+#include "server_limit.h"
 #include "suspect_type.h"
 #include "time_type.h"
 #include "verdict_type.h"
@@ -62,7 +63,21 @@
     ServerIncarnation server;
     bool isLeaving = false; ///< Stated for the first time.
     std::optional<std::chrono::milliseconds> retryAfter;
-    std::optional<double> requestLimit; ///< Requests a second for all gateways together.
+    bool hasInvalidLimit = false; ///< It states a limit that is not a number, for the first time.
+};
+
+/** A server that the request was not sent to because of its limit, for logs. */
+struct LimitDenial
+{
+    std::string server;
+    LimitBasis basis;
+    std::chrono::milliseconds wait{}; ///< Time until this gateway may get a permit.
+};
+
+/** Asks the owner of the server's limit for a permit; Exchange::onPermitAnswer() has to follow in any case. */
+struct AskPermit
+{
+    std::string server;
 };
 
 /** Sends the request to a backend server. */
@@ -110,7 +125,8 @@
     std::optional<std::chrono::milliseconds> retryAfter;
 };
 
-using ExchangeAction = std::variant<StartAttempt, StopAttempt, SendHead, SendBody, EndResponse, AbortResponse, Reply>;
+using ExchangeAction
+    = std::variant<AskPermit, StartAttempt, StopAttempt, SendHead, SendBody, EndResponse, AbortResponse, Reply>;
 using ExchangeActions = std::vector<ExchangeAction>;
 
 } // namespace turmericline
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,7 +1,9 @@
 #include "gateway.h"
 
+#include "feed_relay_codec.h"
 #include "gateway_feed.h"
 #include "log.h"
+#include "server_limit_codec.h"
 #include "store_config.h"
 #include "suspect_codec.h"
 #include "verdict.h"
@@ -71,18 +73,39 @@
     }
 }
 
+std::string_view statementText(const ServerStatement &statement)
+{
+    if (statement.isLeaving) {
+        return "server states that it leaves";
+    }
+    return statement.hasInvalidLimit ? "server states an invalid limit" : "server wants no requests for a time";
+}
+
 void logStatements(const Exchange &exchange)
 {
     for (const auto &it : exchange.summary().statements) {
         logEvent(LogLevel::Info,
-                 it.isLeaving    ? "server states that it leaves"
-                 : it.retryAfter ? "server wants no requests for a time"
-                                 : "server states a limit",
+                 statementText(it),
                  {{"request", exchange.request().caller.requestId},
                   {"server", it.server.id},
                   {"server_start_ms", it.server.startTimeMs},
-                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0},
-                  {"limit_per_s", it.requestLimit.value_or(-1)}});
+                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0}});
+    }
+}
+
+void logLimitDenials(const Exchange &exchange)
+{
+    for (const auto &it : exchange.summary().limitDenials) {
+        logEvent(LogLevel::Info,
+                 "no permit for a server with a limit",
+                 {{"request", exchange.request().caller.requestId},
+                  {"server", it.server},
+                  {"limit_per_s", it.basis.limit},
+                  {"share_per_s", it.basis.share},
+                  {"age_ms", it.basis.age.count()},
+                  {"source", nameOf(limitSourceNames, it.basis.source)},
+                  {"owner", it.basis.owner},
+                  {"wait_ms", it.wait.count()}});
     }
 }
 
@@ -94,7 +117,12 @@
     , m_dialect(std::move(dialect))
     , m_random(randomSeed())
     , m_backends(settings.domain)
-    , m_suspects(io, {settings.suspectHold, settings.domain, settings.peer, settings.seeds}, m_backends, m_random)
+    , m_limits(io, m_dialect, m_backends, m_random())
+    , m_suspects(io,
+                 {settings.suspectHold, settings.domain, settings.peer, settings.seeds},
+                 m_backends,
+                 m_limits.table(),
+                 m_random)
     , m_registry(m_dialect, m_backends)
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort), m_random)
     , m_pool(io)
@@ -103,6 +131,22 @@
     , m_acceptor(io, requireEndpoint(settings.listen))
     , m_timer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+{
+    const auto handlers = opsHandlers();
+    const auto ready = requireEndpoint(settings.ready);
+    m_readyServer = std::make_unique<OpsServer>(io, ready.address().to_string(), ready.port(), handlers);
+    if (!settings.metrics.empty()) {
+        const auto ops = requireEndpoint(settings.metrics);
+        m_opsServer = std::make_unique<OpsServer>(io, ops.address().to_string(), ops.port(), handlers);
+    }
+    handlePeerCalls();
+    logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"listen", settings.listen}});
+    waitForSignal();
+    accept();
+    tick();
+}
+
+OpsHandlers Gateway::opsHandlers()
 {
     OpsHandlers handlers;
     handlers.readyPath = m_dialect.readyPath;
@@ -111,30 +155,36 @@
     };
     handlers.metrics = [this] {
         m_metrics.setCounts(m_callers.size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
+        m_metrics.setPermits(m_limits.counts(), m_limits.table().limitedCount(), m_limits.table().ownedCount());
         return m_metrics.text();
     };
     handlers.status = [this] {
         return nlohmann::json{{"config_version", m_table ? m_table->config().version : 0},
                               {"requests_in_flight", m_calls.size()},
                               {"follows", m_feeds.followedGateway()},
-                              {"suspects", m_suspects.status()}};
+                              {"suspects", m_suspects.status()},
+                              {"limits", m_limits.status()}};
     };
-    const auto ready = requireEndpoint(settings.ready);
-    m_readyServer = std::make_unique<OpsServer>(io, ready.address().to_string(), ready.port(), handlers);
-    if (!settings.metrics.empty()) {
-        const auto ops = requireEndpoint(settings.metrics);
-        m_opsServer = std::make_unique<OpsServer>(io, ops.address().to_string(), ops.port(), handlers);
-    }
-    if (const auto address = m_suspects.ownAddress(); !address.empty()) {
-        m_feeds.startRelay(io, address);
-        m_suspects.setPollHandler([this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-            m_feeds.onPoll(request, responder);
-        });
+    return handlers;
+}
+
+/** Calls of other gateways, if this one exchanges messages with any. */
+void Gateway::handlePeerCalls()
+{
+    const auto address = m_suspects.ownAddress();
+    if (address.empty()) {
+        return;
     }
-    logEvent(LogLevel::Info, "started", {{"domain", settings.domain}, {"listen", settings.listen}});
-    waitForSignal();
-    accept();
-    tick();
+    m_feeds.startRelay(m_io, address);
+    m_suspects.setPeerCallHandler(feedTarget,
+                                  [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                                      m_feeds.onPoll(request, responder);
+                                  });
+    m_limits.table().setOwnAddress(address);
+    m_suspects.setPeerCallHandler(permitTarget,
+                                  [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                                      m_limits.onRequest(request, *responder);
+                                  });
 }
 
 GatewayFeeds::Handlers Gateway::feedHandlers()
@@ -220,9 +270,11 @@
                                                               m_suspects.table(),
                                                               m_suspects.parts(),
                                                               m_suspects.detector(),
+                                                              m_limits.table(),
                                                               m_random},
                                               m_dialect,
                                               m_pool,
+                                              m_limits,
                                               connection,
                                               [this](const GatewayCall &ended) {
                                                   onCallEnd(ended);
@@ -259,6 +311,7 @@
     m_metrics.recordExchange(call.exchange(), total);
     logFailedAttempts(call.exchange());
     logStatements(call.exchange());
+    logLimitDenials(call.exchange());
     logEvent(LogLevel::Info,
              "request ended",
              {{"request", request.caller.requestId},
@@ -357,6 +410,7 @@
     m_feeds.tick(now, m_suspects.nearGateways(now));
     m_registry.tick(now);
     m_suspects.tick(now);
+    m_limits.tick(now, m_suspects.fleetView(now), m_table.get());
     onGatewayCount(m_suspects.gatewayCount());
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
@@ -411,6 +465,7 @@
     }
     logEvent(LogLevel::Info, "stopping", {{"requests_in_flight", m_calls.size()}});
     m_feeds.stopRelay();
+    m_limits.table().handOver(m_suspects.choosePeer(std::chrono::steady_clock::now()));
     m_drainingSince = std::chrono::steady_clock::now();
     for (const auto &it : m_callers) {
         it->drain(false);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -5,6 +5,7 @@
 #include "caller_connection.h"
 #include "gateway_call.h"
 #include "gateway_feeds.h"
+#include "gateway_limits.h"
 #include "gateway_metrics.h"
 #include "gateway_route.h"
 #include "gateway_settings.h"
@@ -46,6 +47,8 @@
     void scheduleTick();
     void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body);
     GatewayFeeds::Handlers feedHandlers();
+    OpsHandlers opsHandlers();
+    void handlePeerCalls();
     void onConfig(const StoreChange &change, std::chrono::milliseconds outage);
     void onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage);
     ServerBasis serverBasis() const;
@@ -65,6 +68,7 @@
     GatewayDialect m_dialect;
     std::mt19937_64 m_random;
     BackendTable m_backends;
+    GatewayLimits m_limits;
     GatewaySuspects m_suspects;
     BackendRegistry m_registry;
     RankLoadReader m_rankLoads;
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -20,11 +20,13 @@
                          ExchangeContext context,
                          const GatewayDialect &dialect,
                          BackendPool &pool,
+                         GatewayLimits &limits,
                          std::shared_ptr<CallerConnection> caller,
                          EndHandler onEnd)
     : m_exchange(std::move(request), context)
     , m_dialect(dialect)
     , m_pool(pool)
+    , m_limits(limits)
     , m_caller(std::move(caller))
     , m_onEnd(std::move(onEnd))
 {
@@ -66,6 +68,13 @@
     }
 }
 
+void GatewayCall::executeAction(const AskPermit &action)
+{
+    m_limits.ask(now(), action.server, [self = shared_from_this()] {
+        self->perform(self->m_exchange.onPermitAnswer(now()));
+    });
+}
+
 void GatewayCall::executeAction(StartAttempt &action)
 {
     // A server may close an idle connection just as a request is sent on it. The request may then have run, so one that
--- a/src/gateway_call.h
+++ b/src/gateway_call.h
@@ -3,6 +3,7 @@
 #include "backend_pool.h"
 #include "caller_connection.h"
 #include "exchange.h"
+#include "gateway_limits.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,7 @@
                 ExchangeContext context,
                 const GatewayDialect &dialect,
                 BackendPool &pool,
+                GatewayLimits &limits,
                 std::shared_ptr<CallerConnection> caller,
                 EndHandler onEnd);
 
@@ -32,6 +34,7 @@
 
 private:
     void perform(ExchangeActions actions);
+    void executeAction(const AskPermit &action);
     void executeAction(StartAttempt &action);
     void executeAction(const StopAttempt &action);
     void executeAction(const SendHead &action);
@@ -46,6 +49,7 @@
     Exchange m_exchange;
     const GatewayDialect &m_dialect;
     BackendPool &m_pool;
+    GatewayLimits &m_limits;
     std::shared_ptr<CallerConnection> m_caller;
     std::shared_ptr<BackendConnection> m_backend;
     EndHandler m_onEnd;
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -46,6 +46,7 @@
     bool isLeaving = false; ///< The server that answers takes no new requests soon.
     std::optional<std::chrono::milliseconds> retryAfter; ///< The server wants no requests of this gateway for so long.
     std::optional<double> requestLimit; ///< Requests a second that the server takes from all gateways together.
+    std::string serverId; ///< Only in answers to health checks: the server that answers.
     bool hasInvalidLimit = false; ///< The server states a limit that is not a number of requests.
     std::optional<BackendLoad> load;
     std::optional<std::chrono::milliseconds> keepAlive; ///< Time after which the server closes an idle connection.
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -106,6 +106,17 @@
     m_gauges.Add({{"name", "server_connections_opened"}}).Set(static_cast<double>(opened));
 }
 
+void GatewayMetrics::setPermits(const PermitCounts &counts, std::size_t limited, std::size_t owned)
+{
+    m_gauges.Add({{"name", "limited_servers"}}).Set(static_cast<double>(limited));
+    m_gauges.Add({{"name", "limits_owned"}}).Set(static_cast<double>(owned));
+    m_gauges.Add({{"name", "permits_asked"}}).Set(static_cast<double>(counts.asked));
+    m_gauges.Add({{"name", "permits_received"}}).Set(static_cast<double>(counts.received));
+    m_gauges.Add({{"name", "permits_unanswered"}}).Set(static_cast<double>(counts.unanswered));
+    m_gauges.Add({{"name", "permits_granted"}}).Set(static_cast<double>(counts.granted));
+    m_gauges.Add({{"name", "permits_denied"}}).Set(static_cast<double>(counts.denied));
+}
+
 std::string GatewayMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange.h"
+#include "gateway_limits.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -29,6 +30,8 @@
     void recordNewEra();
     void setConfigVersion(std::uint64_t version);
     void setCounts(std::size_t callers, std::size_t inFlight, std::uint64_t storeCalls, std::uint64_t opened);
+    /** @p limited: servers with a limit. @p owned: those for which this gateway grants the permits. */
+    void setPermits(const PermitCounts &counts, std::size_t limited, std::size_t owned);
     /** Prometheus text exposition format. */
     std::string text() const;
 
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -1,7 +1,6 @@
 #include "gateway_suspects.h"
 
 #include "address.h"
-#include "feed_relay_codec.h"
 #include "log.h"
 #include "part_suspect_codec.h"
 #include "suspect_codec.h"
@@ -60,6 +59,7 @@
 GatewaySuspects::GatewaySuspects(asio::io_context &io,
                                  const GatewaySuspectSettings &settings,
                                  const BackendTable &servers,
+                                 ServerLimits &limits,
                                  std::mt19937_64 &random)
     : m_io(io)
     , m_servers(servers)
@@ -68,11 +68,11 @@
     , m_caller(io)
 {
     if (!settings.listen.empty()) {
-        listen(settings, random);
+        listen(settings, limits, random);
     }
 }
 
-void GatewaySuspects::listen(const GatewaySuspectSettings &settings, std::mt19937_64 &random)
+void GatewaySuspects::listen(const GatewaySuspectSettings &settings, ServerLimits &limits, std::mt19937_64 &random)
 {
     const auto &address = settings.listen;
     m_server = std::make_unique<HttpServer>(
@@ -82,7 +82,7 @@
             onRequest(request, responder);
         });
     auto ownAddress = address.substr(0, address.rfind(':') + 1) + std::to_string(m_server->port());
-    m_gossip.emplace(std::move(ownAddress), settings.domain, settings.seeds, m_table, m_parts, random);
+    m_gossip.emplace(std::move(ownAddress), settings.domain, settings.seeds, m_table, m_parts, limits, random);
 }
 
 std::uint16_t GatewaySuspects::port() const
@@ -145,10 +145,11 @@
 void GatewaySuspects::onRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     const bool isPost = request.method == "POST";
+    const auto handler = m_handlers.find(request.path);
     if (isPost && request.path == gossipTarget) {
         onGossip(request, *responder);
-    } else if (isPost && request.path == feedTarget && m_onPoll) {
-        m_onPoll(request, responder);
+    } else if (isPost && handler != m_handlers.end()) {
+        handler->second(request, responder);
     } else {
         logEvent(LogLevel::Warning,
                  "rejected a call at the port for gateways",
@@ -281,9 +282,9 @@
     }
 }
 
-void GatewaySuspects::setPollHandler(PollHandler handler)
+void GatewaySuspects::setPeerCallHandler(std::string_view target, PeerCallHandler handler)
 {
-    m_onPoll = std::move(handler);
+    m_handlers[std::string(target)] = std::move(handler);
 }
 
 std::string GatewaySuspects::ownAddress() const
@@ -301,6 +302,16 @@
     return m_gossip ? m_gossip->knownPeerCount() + 1 : 1;
 }
 
+FleetView GatewaySuspects::fleetView(TimePoint now)
+{
+    return m_gossip ? m_gossip->fleetView(now) : FleetView{};
+}
+
+std::string GatewaySuspects::choosePeer(TimePoint now) const
+{
+    return m_gossip ? m_gossip->choosePeer(now) : std::string();
+}
+
 nlohmann::json GatewaySuspects::status() const
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/gateway_suspects.h
+++ b/src/gateway_suspects.h
@@ -38,6 +38,7 @@
     GatewaySuspects(asio::io_context &io,
                     const GatewaySuspectSettings &settings,
                     const BackendTable &servers,
+                    ServerLimits &limits,
                     std::mt19937_64 &random);
 
     SuspectTable &table()
@@ -64,18 +65,21 @@
     nlohmann::json status() const;
     /** Number of gateways that this one knows, itself included. */
     std::size_t gatewayCount() const;
+    FleetView fleetView(TimePoint now);
+    /** "IP:PORT" of a random live gateway; empty if there is none. */
+    std::string choosePeer(TimePoint now) const;
 
-    using PollHandler
+    using PeerCallHandler
         = std::function<void(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)>;
-    /** Sets the handler of polls for what this gateway reads from the store; see feed_relay.h. */
-    void setPollHandler(PollHandler handler);
+    /** Sets the handler of other calls of gateways to @p target. */
+    void setPeerCallHandler(std::string_view target, PeerCallHandler handler);
     /** "IP:PORT" at which other gateways reach this one; empty if nothing is exchanged. */
     std::string ownAddress() const;
     /** Other gateways in this failure domain that were alive lately. */
     std::vector<std::string> nearGateways(TimePoint now) const;
 
 private:
-    void listen(const GatewaySuspectSettings &settings, std::mt19937_64 &random);
+    void listen(const GatewaySuspectSettings &settings, ServerLimits &limits, std::mt19937_64 &random);
     void onRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void onGossip(const HttpRequest &request, HttpResponder &responder);
     void sendGossip(TimePoint now);
@@ -97,7 +101,7 @@
     HttpCaller m_caller;
     std::unique_ptr<HttpServer> m_server; ///< Null if nothing is exchanged, as m_gossip.
     std::optional<Gossip> m_gossip;
-    PollHandler m_onPoll;
+    std::map<std::string, PeerCallHandler, std::less<>> m_handlers; ///< By target.
     TimePoint m_nextExpiryAt{};
     std::chrono::nanoseconds m_suspendedTime{}; ///< Time that this machine has been suspended since it started.
 };
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -3,6 +3,7 @@
 #include "event_budget.h"
 #include "gossip_codec.h"
 #include "part_suspect.h"
+#include "server_limit.h"
 #include "suspect.h"
 
 #include <random>
@@ -19,7 +20,7 @@
 };
 
 /**
- * Decides when this gateway sends crash reports to which other gateways. Once a second it sends a message to a random
+ * Decides when this gateway sends crash reports and limits of servers to which other gateways. Once a second it sends a message to a random
  * live peer, and one to a seed or peer that was silent. New reports are sent at once to a few peers, which do the same,
  * so that a report reaches all gateways in a few hops. If there is news all the time, it is sent less often, so that the
  * messages of a gateway stay bounded. The caller does all input and output.
@@ -33,6 +34,7 @@
            std::vector<std::string> seeds,
            SuspectTable &suspects,
            PartSuspects &parts,
+           ServerLimits &limits,
            std::mt19937_64 &random);
 
     void setSeeds(std::vector<std::string> seeds);
@@ -55,6 +57,9 @@
     Received onAnswer(TimePoint now, const GossipMessage &message);
     std::size_t livePeerCount(TimePoint now) const;
     std::size_t knownPeerCount() const;
+    FleetView fleetView(TimePoint now);
+    /** Returns a random live peer, or an empty string if there is none. */
+    std::string choosePeer(TimePoint now) const;
     /** See PeerList::peersInDomain(); for the own failure domain. */
     std::vector<std::string> nearPeers(TimePoint now, std::chrono::milliseconds maxAge) const;
     const std::string &ownAddress() const
@@ -63,6 +68,7 @@
     }
 
 private:
+    bool maySendNews(TimePoint now);
     Received merge(TimePoint now, const GossipMessage &message);
     GossipMessage makeMessage(TimePoint now, bool hasAllReports);
 
@@ -70,12 +76,16 @@
     std::string m_ownDomain;
     SuspectTable &m_suspects;
     PartSuspects &m_parts;
+    ServerLimits &m_limits;
     std::mt19937_64 &m_random;
     PeerList m_peers;
     TimePoint m_nextRoundAt{};
     TimePoint m_lastAnswerAt{};
     EventBudget m_newsBudget;
+    EventBudget m_limitNewsBudget;
     TimePoint m_nextNewsAt{};
+    std::size_t m_fleetSize; ///< Last known number of gateways, this one included.
+    bool m_hasNewLimits = false;
     bool m_hasNewReports = false;
 };
 
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "part_suspect_codec.h"
+#include "server_limit_codec.h"
 #include "suspect_codec.h"
 
 namespace turmericline {
@@ -15,6 +16,7 @@
 constexpr std::size_t maxPeersPerMessage = 128;
 constexpr std::size_t maxReportsPerMessage = 512;
 constexpr std::size_t maxPartsPerMessage = 128;
+constexpr std::size_t maxLimitsPerMessage = 512;
 
 PeerAge decodePeer(const Json &json)
 {
@@ -68,6 +70,16 @@
             message.parts.push_back(std::move(*report));
         }
     }
+    // Nor limits of servers.
+    const auto limits = json.value("limits", Json::array());
+    if (limits.size() > maxLimitsPerMessage) {
+        return Result<GossipMessage>::fail("too many entries");
+    }
+    for (const auto &it : limits) {
+        if (auto report = decodeLimitReport(it)) {
+            message.limits.push_back(std::move(*report));
+        }
+    }
     return Result<GossipMessage>::ok(std::move(message));
 }
 
@@ -87,13 +99,18 @@
     for (const auto &it : message.parts) {
         parts.push_back(encodePartReport(it));
     }
+    auto limits = Json::array();
+    for (const auto &it : message.limits) {
+        limits.push_back(encodeLimitReport(it));
+    }
     const auto bytes = Json::to_msgpack({{"format", formatNumber},
                                          {"sender", message.sender},
                                          {"domain", message.senderDomain},
                                          {"wants_all", message.wantsAllReports},
                                          {"peers", std::move(peers)},
                                          {"reports", std::move(reports)},
-                                         {"parts", std::move(parts)}});
+                                         {"parts", std::move(parts)},
+                                         {"limits", std::move(limits)}});
     return {bytes.begin(), bytes.end()};
 }
 
--- a/src/gossip_codec.h
+++ b/src/gossip_codec.h
@@ -2,6 +2,7 @@
 
 #include "part_suspect_type.h"
 #include "peer_list.h"
+#include "server_limit_type.h"
 #include "suspect_type.h"
 #include "verdict_type.h"
 
@@ -20,6 +21,7 @@
     std::vector<PeerAge> peers;
     std::vector<CrashReport> reports;
     std::vector<PartReport> parts;
+    std::vector<LimitReport> limits;
 };
 
 /** Request target at which a gateway takes messages of other gateways. */
--- a/src/peer_list.cpp
+++ b/src/peer_list.cpp
@@ -124,4 +124,18 @@
     }));
 }
 
+std::size_t PeerList::countAliveSince(TimePoint now, std::chrono::milliseconds maxAge) const
+{
+    return static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto &it) {
+        return now - it.second.aliveAt <= maxAge;
+    }));
+}
+
+bool PeerList::hasOtherSeeds() const
+{
+    return std::any_of(m_seeds.begin(), m_seeds.end(), [this](const auto &it) {
+        return it != m_ownAddress;
+    });
+}
+
 } // namespace turmericline
--- a/src/peer_list.h
+++ b/src/peer_list.h
@@ -42,11 +42,14 @@
     /** Returns up to @p n random peers that were alive recently, with their ages, to be sent to another gateway. */
     std::vector<PeerAge> sample(TimePoint now, std::size_t n, std::mt19937_64 &random) const;
     std::size_t liveCount(TimePoint now) const;
+    /** Number of peers that were alive @p maxAge ago or later. */
+    std::size_t countAliveSince(TimePoint now, std::chrono::milliseconds maxAge) const;
     /** Peers in failure domain @p domain that were alive @p maxAge ago or later. */
     std::vector<std::string>
     peersInDomain(TimePoint now, std::string_view domain, std::chrono::milliseconds maxAge) const;
     /** Number of peers that are not forgotten yet, which includes those that a cut separates from this gateway. */
     std::size_t knownCount() const;
+    bool hasOtherSeeds() const;
 
 private:
     struct Peer
--- a/src/routing_type.h
+++ b/src/routing_type.h
@@ -66,6 +66,7 @@
 {
     std::string name;
     std::uint32_t maxConnections = 64; ///< Connections that one backend server accepts in total.
+    std::string healthPath; ///< Path of the servers' health check; empty if it is not known.
     std::optional<ExpertLayout> experts; ///< Only set if the servers are ranks that share the experts of a model.
 };
 
--- a/tests/exchange_fixture.h
+++ b/tests/exchange_fixture.h
@@ -15,6 +15,7 @@
     turmericline::SuspectTable suspects{turmericline::SuspectSettings{}};
     turmericline::PartSuspects parts{turmericline::PartSuspectSettings{}};
     turmericline::CrashDetector crashes;
+    turmericline::ServerLimits limits{3};
     turmericline::RoutingRule rule;
     std::vector<turmericline::Fingerprint> promptParts; ///< Of the requests that make() returns.
 
@@ -44,7 +45,7 @@
         request.parts = promptParts;
         request.service = "s";
         request.arrived = now;
-        return {std::move(request), {backends, retries, retryConfig, suspects, parts, crashes, random}};
+        return {std::move(request), {backends, retries, retryConfig, suspects, parts, crashes, limits, random}};
     }
 
     /** Records that servers x1 to x@p n, none of those in the table, have crashed under the request. */
--- a/tests/part_suspect_simulation.h
+++ b/tests/part_suspect_simulation.h
@@ -139,6 +139,7 @@
     {
         std::unique_ptr<SuspectTable> suspects;
         std::unique_ptr<PartSuspects> parts;
+        std::unique_ptr<ServerLimits> limits;
         std::unique_ptr<Gossip> gossip;
         TimePoint startedAt{};
     };
@@ -186,11 +187,13 @@
         settings.maxSends = 32; // As gateways have it.
         it.suspects = std::make_unique<SuspectTable>(settings);
         it.parts = std::make_unique<PartSuspects>(PartSuspectSettings{}, m_random());
+        it.limits = std::make_unique<ServerLimits>(i);
         it.gossip = std::make_unique<Gossip>(addressOf(i),
                                              "d" + std::to_string(i % domainCount),
                                              std::vector{addressOf(0), addressOf(1), addressOf(2)},
                                              *it.suspects,
                                              *it.parts,
+                                             *it.limits,
                                              m_random);
         it.startedAt = m_now;
     }
