Forget limits of runs of servers that are not the announced ones

A report of another gateway about a run that this gateway does not know was kept as long as the server was announced at all, so a forged one could not be contradicted by the server's own answers, which are about the announced run.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -194,7 +194,7 @@
 /** Chooses a server, and spends a permit if it has a limit. Returns nothing if there is none, or a permit is asked for. */
 std::optional<BackendPick> Exchange::chooseWithPermit(TimePoint now, ExchangeActions &actions)
 {
-    while (const auto pick = choose(now)) {
+    while (auto pick = choose(now)) {
         const auto decision = m_context.limits.take(now, pick->server);
         switch (decision.verdict) {
         case PermitVerdict::Unlimited:
--- a/src/gateway_limits.cpp
+++ b/src/gateway_limits.cpp
@@ -176,7 +176,7 @@
     m_nextExpiryAt = now + expiryPeriod;
     m_table.expire(now, [this](const LimitStatement &it) {
         const auto *server = m_servers.find(it.server);
-        return server != nullptr && server->record.startTimeMs <= it.startTimeMs;
+        return server != nullptr && server->record.startTimeMs == it.startTimeMs;
     });
 }
 
