--- a/src/gossip.h
+++ b/src/gossip.h
@@ -20,10 +20,10 @@
 };
 
 /**
- * Decides when this gateway sends crash reports and limits of servers to which other gateways. Once a second it sends a message to a random
- * live peer, and one to a seed or peer that was silent. New reports are sent at once to a few peers, which do the same,
- * so that a report reaches all gateways in a few hops. If there is news all the time, it is sent less often, so that the
- * messages of a gateway stay bounded. The caller does all input and output.
+ * Decides when this gateway sends crash reports and limits of servers to which other gateways. Once a second it sends a
+ * message to a random live peer, and one to a seed or peer that was silent. News is sent at once to a few peers, which
+ * do the same, so that it reaches all gateways in a few hops. If there is news all the time, it is sent less often, so
+ * that the messages of a gateway stay bounded. The caller does all input and output.
  */
 class Gossip
 {
