--- /dev/null
+++ b/review/2/case.cpp
@@ -0,0 +1,151 @@
+#include "../standin/replica.h"
+
+using namespace standin;
+
+namespace {
+
+/** The replicas work this long on the request before it crashes them. */
+constexpr double crashTime = 0.35;
+/** A crashed replica is back after this time. */
+constexpr double downTime = 2.5;
+/** Half of the route's target_latency_ms: this is when the client leaves. */
+constexpr double leaveTime = 0.25;
+constexpr double contactTime = 3.0;
+constexpr int maxRetries = 3;
+constexpr double testTime = 60;
+const char *const poison = "poison";
+
+std::mutex mutex; // NOLINT
+std::vector<Run> arrivals; // NOLINT
+std::vector<double> crashes; // NOLINT
+std::atomic<int> soundServed = 0; // NOLINT
+std::atomic<int> soundLost = 0; // NOLINT
+
+bool isPoison(const Message &request)
+{
+    return request.body == poison;
+}
+
+} // namespace
+
+int main(int, char **argv)
+{
+    record.open(argv[1]);
+    Store store(loopback(1));
+    store.put("op/config",
+              configText(1,
+                         routeText("r-1", "/memo/", "safe", 8000, 500, "svc", 2) + ","
+                             + routeText("r-2", "/confirm/", "unsafe", 8000, 500, "svc", 1),
+                         "svc",
+                         "\"key-1\""));
+    std::vector<std::unique_ptr<Replica>> replicas;
+    std::atomic<bool> isOver = false;
+    const auto work = [&](Replica &replica, Peer &peer, const Message &request) {
+        if (!isPoison(request)) {
+            sleepFor(0.3);
+            return replica.answer(peer, request, "done");
+        }
+        {
+            const std::lock_guard lock(mutex);
+            arrivals.push_back({replica.id(), request.header("attempt-id"), request.body, now()});
+        }
+        record.line("%s begins to run the crashing request (attempt %s)",
+                    replica.id().c_str(),
+                    request.header("attempt-id").c_str());
+        sleepFor(crashTime);
+        replica.crash();
+        {
+            const std::lock_guard lock(mutex);
+            crashes.push_back(now());
+        }
+        record.line("%s crashes", replica.id().c_str());
+        sleepFor(downTime);
+        if (!isOver) {
+            replica.start();
+            record.line("%s is back", replica.id().c_str());
+        }
+        return false;
+    };
+    for (int n = 0; n < 6; ++n) {
+        const char *const zones[] = {"hall-a", "hall-b", "hall-c"};
+        replicas.push_back(std::make_unique<Replica>(
+            store, "i-" + std::to_string(n + 1), "svc", zones[n % 3], loopback(11 + n), work));
+    }
+    auto gateways = startGateways(3, 31, [&](std::size_t) {
+        return store.address();
+    });
+    sleepFor(2); // The gateways get to know each other.
+    record.line("start; trouble %d", hasTrouble() ? 1 : 0);
+    const auto begin = now();
+    std::vector<std::thread> clients;
+    clients.emplace_back([&] {
+        for (int n = 0; now() < begin + testTime; ++n) {
+            const auto &gateway = *gateways[static_cast<std::size_t>(n) % gateways.size()];
+            Call call;
+            call.ip = gateway.ip();
+            call.port = gateway.port();
+            call.path = "/memo/7";
+            call.key = "key-1";
+            call.body = poison;
+            if (hasTrouble()) {
+                call.leavesAfter = leaveTime;
+            }
+            const auto answer = send(call);
+            record.line("client sent the crashing request (attempt %s) to %s and %s, status %d, after %.0f ms",
+                        answer.id.c_str(),
+                        gateway.name().c_str(),
+                        answer.status == 0 ? "left without an answer" : "got an answer",
+                        answer.status,
+                        (answer.endedAt - answer.sentAt) * 1000);
+            sleepUntil(begin + 2.0 * (n + 1));
+        }
+    });
+    for (std::size_t c = 0; c < 6; ++c) {
+        clients.emplace_back([&, c] {
+            for (int n = 0; now() < begin + testTime; ++n) {
+                const auto &gateway = *gateways[(static_cast<std::size_t>(n) + c) % gateways.size()];
+                Call call;
+                call.ip = gateway.ip();
+                call.port = gateway.port();
+                call.path = "/confirm/" + std::to_string(n);
+                call.key = "key-1";
+                call.body = "sound " + std::to_string(c) + " " + std::to_string(n);
+                const auto answer = send(call);
+                if (answer.status == 200 && answer.isComplete) {
+                    ++soundServed;
+                } else {
+                    ++soundLost;
+                    record.line("sound unsafe request %s to %s: status %d",
+                                answer.id.c_str(),
+                                gateway.name().c_str(),
+                                answer.status);
+                }
+                sleepFor(0.05);
+            }
+        });
+    }
+    for (auto &it : clients) {
+        it.join();
+    }
+    isOver = true;
+    int late = 0;
+    {
+        const std::lock_guard lock(mutex);
+        const double from = crashes.size() >= 3 ? crashes[2] + contactTime : 1e9;
+        for (const auto &it : arrivals) {
+            late += it.at > from ? 1 : 0;
+        }
+        record.line("the request reached replicas %zu times and crashed them %zu times; %d times later than contact_ms "
+                    "after the third crash (allowed: %d)",
+                    arrivals.size(),
+                    crashes.size(),
+                    late,
+                    maxRetries);
+    }
+    record.line("sound requests: %d answered with success, %d not", soundServed.load(), soundLost.load());
+    finish(late > maxRetries, [&] {
+        for (auto &it : gateways) {
+            it->program().kill();
+        }
+    });
+}
