--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -4,12 +4,12 @@
 
 namespace {
 
-/** The replicas work this long on the request before it crashes them. */
-constexpr double crashTime = 0.35;
+/** The replicas end this long after they have begun to run the request. */
+constexpr double crashTime = 0.08;
 /** A crashed replica is back after this time. */
 constexpr double downTime = 2.5;
 /** Half of the route's target_latency_ms: this is when the client leaves. */
-constexpr double leaveTime = 0.25;
+constexpr double leaveTime = 0.05;
 constexpr double contactTime = 3.0;
 constexpr int maxRetries = 3;
 constexpr double testTime = 60;
@@ -34,15 +34,15 @@
     Store store(loopback(1));
     store.put("op/config",
               configText(1,
-                         routeText("r-1", "/memo/", "safe", 8000, 500, "svc", 2) + ","
-                             + routeText("r-2", "/confirm/", "unsafe", 8000, 500, "svc", 1),
+                         routeText("r-1", "/check/", "safe", 1000, 100, "svc", 2) + ","
+                             + routeText("r-2", "/confirm/", "unsafe", 1000, 100, "svc", 1),
                          "svc",
                          "\"key-1\""));
     std::vector<std::unique_ptr<Replica>> replicas;
     std::atomic<bool> isOver = false;
     const auto work = [&](Replica &replica, Peer &peer, const Message &request) {
         if (!isPoison(request)) {
-            sleepFor(0.3);
+            sleepFor(0.06);
             return replica.answer(peer, request, "done");
         }
         {
@@ -84,8 +84,9 @@
             Call call;
             call.ip = gateway.ip();
             call.port = gateway.port();
-            call.path = "/memo/7";
+            call.path = "/check/7";
             call.key = "key-1";
+            call.deadlineMs = 1000;
             call.body = poison;
             if (hasTrouble()) {
                 call.leavesAfter = leaveTime;
@@ -109,6 +110,7 @@
                 call.port = gateway.port();
                 call.path = "/confirm/" + std::to_string(n);
                 call.key = "key-1";
+                call.deadlineMs = 1000;
                 call.body = "sound " + std::to_string(c) + " " + std::to_string(n);
                 const auto answer = send(call);
                 if (answer.status == 200 && answer.isComplete) {
@@ -120,7 +122,7 @@
                                 gateway.name().c_str(),
                                 answer.status);
                 }
-                sleepFor(0.05);
+                sleepFor(0.02);
             }
         });
     }
--- a/review/standin/replica.h
+++ b/review/standin/replica.h
@@ -27,7 +27,13 @@
     /** Decides what to do with a request that has begun; returns false if it has ended without an answer. */
     using Work = std::function<bool(Replica &replica, Peer &peer, const Message &request)>;
 
-    Replica(Store &store, std::string id, std::string service, std::string zone, const std::string &ip, Work work)
+    Replica(Store &store,
+            std::string id,
+            std::string service,
+            std::string zone,
+            const std::string &ip,
+            Work work,
+            double rate = 0)
         : m_store(store)
         , m_id(std::move(id))
         , m_service(std::move(service))
@@ -37,6 +43,13 @@
             handle(peer, request);
         })
     {
+        m_server.setRate(rate);
+        m_server.onHead([this](const Message &head) {
+            if (!head.header("attempt-id").empty()) {
+                const std::lock_guard lock(m_mutex);
+                m_arrived.insert(head.header("attempt-id"));
+            }
+        });
         start();
     }
 
@@ -85,6 +98,13 @@
         return peer.send(responseText(200, headersFor(request), body));
     }
 
+    /** Whether a request has arrived here, whole or in part. */
+    bool hasArrived(const std::string &attemptId)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrived.count(attemptId) != 0;
+    }
+
     const std::string &id() const
     {
         return m_id;
@@ -125,6 +145,8 @@
     std::string m_zone;
     std::int64_t m_born = 0;
     std::atomic<bool> m_isLeaving = false;
+    std::mutex m_mutex;
+    std::set<std::string> m_arrived;
     Work m_work;
     Server m_server;
 };
