--- a/review/standin/replica.h
+++ b/review/standin/replica.h
@@ -98,6 +98,26 @@
         return peer.send(responseText(200, headersFor(request), body));
     }
 
+    /** Answers with a stream of @p count events, one each @p gap seconds. */
+    bool stream(Peer &peer, const Message &request, int count, double gap) const
+    {
+        const auto last = std::strtol(request.header("last-event-id").c_str(), nullptr, 10);
+        if (!peer.send("HTTP/1.1 200 OK\r\n" + headersFor(request)
+                       + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+            return false;
+        }
+        for (int n = static_cast<int>(last) + 1; n <= count; ++n) {
+            const auto event = "id: " + std::to_string(n) + "\ndata: " + m_id + "\n\n";
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            if (!peer.send(size + event + "\r\n")) {
+                return false;
+            }
+            sleepFor(gap);
+        }
+        return peer.send("0\r\n\r\n");
+    }
+
     /** Whether a request has arrived here, whole or in part. */
     bool hasArrived(const std::string &attemptId)
     {
