Suspect requests whose callers left before the server ended

A request that crashes each server, and whose caller leaves after 50 ms, was never refused.

Cause: an attempt that ends because its caller left, or its time was over, is no failure of the server, so the crash detector was not told of it, unless the server had been silent for 500 ms. The server goes on with the request and ends under it afterwards.

Why this works: abandoned attempts are kept by server until the server is seen alive after their deadline, and are named with the others once there is firm evidence that the server has ended: a refused probe, a later start, a report of another gateway. They cause no probe by themselves. A withdrawn announcement alone makes them no evidence, since some servers leave in that way: the server is probed first. They do not share the table of failed attempts, so 10,000 that leave in a second take no evidence away.

Sound requests whose callers always leave get no answer that could clear them. Attempts that servers have outlived clear a crash now (16 each; 8 in a row make a part sound), and crashes of servers that end together with as many others count once.

--- a/src/crash_detector.cpp
+++ b/src/crash_detector.cpp
@@ -1,6 +1,7 @@
 #include "crash_detector.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace turmericline {
@@ -19,7 +20,11 @@
 /** Attempts that ended this much before the last one on a server failed for another reason, such as a stalled group. */
 constexpr std::chrono::seconds sameCauseTime{2};
 /** Bounds the messages about one server. */
-constexpr std::size_t maxPartsPerEnd = 64;
+constexpr std::size_t maxPartsPerEnd = 256;
+/** Bounds what one end adds if thousands of callers have left; those that were sent last are the most likely cause. */
+constexpr std::size_t maxAbandonedPerEnd = 1'024;
+/** Bounds the memory between two calls of takeSurvived(). */
+constexpr std::size_t maxSurvived = 4'096;
 
 /** Evidence that the announcements contain against @p server, if any. */
 std::optional<EndEvidence> evidenceAgainst(const ServerIncarnation &server, const BackendTable &servers)
@@ -51,13 +56,31 @@
                                  const ServerIncarnation &server,
                                  const Fingerprint &fingerprint,
                                  std::span<const Fingerprint> parts,
-                                 TimePoint startedAt)
+                                 TimePoint startedAt,
+                                 TimePoint deadline)
 {
     expire(now);
     if (m_unanswered.size() >= maxUnanswered) {
         m_unanswered.erase(m_unanswered.begin());
     }
-    m_unanswered.push_back({server, fingerprint, {parts.begin(), parts.end()}, startedAt, now});
+    m_unanswered.push_back({server, fingerprint, {parts.begin(), parts.end()}, startedAt, now, deadline});
+    addToProbe(server);
+}
+
+void CrashDetector::onAbandoned(const ServerIncarnation &server, const std::string &address, AbandonedAttempt attempt)
+{
+    m_abandoned.add(server, address, std::move(attempt));
+}
+
+void CrashDetector::onUnreachable(const ServerIncarnation &server)
+{
+    if (m_abandoned.contains(server)) {
+        addToProbe(server);
+    }
+}
+
+void CrashDetector::addToProbe(const ServerIncarnation &server)
+{
     if (std::find(m_toProbe.begin(), m_toProbe.end(), server) == m_toProbe.end()) {
         m_toProbe.push_back(server);
     }
@@ -83,10 +106,14 @@
 {
     expire(now);
     if (result == ProbeResult::Listening) {
+        if (m_abandoned.isWithdrawn(server)) {
+            m_abandoned.forget(server);
+        }
+        onAlive(now, server);
         return std::nullopt;
     }
     const auto evidence = result == ProbeResult::Refused ? EndEvidence::Unreachable : EndEvidence::Silent;
-    auto end = takeEnd(server, evidence);
+    auto end = takeEnd(now, server, evidence);
     return end.requests.empty() && end.parts.empty() ? std::nullopt : std::optional(std::move(end));
 }
 
@@ -102,14 +129,34 @@
     for (std::size_t i = 0; i < m_unanswered.size();) {
         const auto server = m_unanswered[i].server;
         if (const auto evidence = evidenceAgainst(server, servers)) {
-            ends.push_back(takeEnd(server, *evidence));
+            ends.push_back(takeEnd(now, server, *evidence));
         } else {
             ++i;
         }
     }
+    checkAbandoned(now, servers, ends);
     return ends;
 }
 
+/**
+ * A server that only lost its announcement may leave as planned and serve for a while, so abandoned attempts alone do not
+ * make that an end. It is probed.
+ */
+void CrashDetector::checkAbandoned(TimePoint now, const BackendTable &servers, std::vector<ServerEnd> &ends)
+{
+    for (const auto *it : m_abandoned.servers()) {
+        const auto *current = servers.find(it->id);
+        const auto evidence = evidenceAgainst(*it, servers);
+        if (current != nullptr && !evidence && current->record.isLeaving) {
+            m_abandoned.forget(ServerIncarnation(*it));
+        } else if (evidence == EndEvidence::Restarted) {
+            ends.push_back(takeEnd(now, ServerIncarnation(*it), *evidence));
+        } else if (evidence && m_abandoned.setWithdrawn(*it)) {
+            addToProbe(*it);
+        }
+    }
+}
+
 void CrashDetector::expire(TimePoint now)
 {
     const auto fresh = std::find_if(m_unanswered.begin(), m_unanswered.end(), [now](const UnansweredAttempt &it) {
@@ -119,9 +166,10 @@
     std::erase_if(m_ended, [now](const RecentEnd &it) {
         return now - it.at > 2 * evidenceWindow;
     });
+    m_abandoned.expire(now - evidenceWindow);
 }
 
-ServerEnd CrashDetector::takeEnd(const ServerIncarnation &server, EndEvidence evidence)
+ServerEnd CrashDetector::takeEnd(TimePoint now, const ServerIncarnation &server, EndEvidence evidence)
 {
     const bool isFirm = evidence != EndEvidence::Silent;
     ServerEnd end{server, evidence, {}, {}, {}};
@@ -134,6 +182,9 @@
             }
         }
         onEndReported(server.id, server.startTimeMs, end.at);
+    } else if (isFirm && m_abandoned.contains(server)) {
+        end.at = knownEnd.value_or(now);
+        onEndReported(server.id, server.startTimeMs, end.at);
     }
     std::erase_if(m_unanswered, [&](UnansweredAttempt &it) {
         if (it.server != server) {
@@ -147,9 +198,29 @@
         // Firm evidence may follow.
         return isFirm || it.parts.empty();
     });
+    if (isFirm) {
+        addAbandoned(end, knownEnd.value_or(now));
+    }
     return end;
 }
 
+/** Adds the abandoned attempts that were sent no later than @p until. */
+void CrashDetector::addAbandoned(ServerEnd &end, TimePoint until)
+{
+    std::set<Fingerprint> known(end.requests.begin(), end.requests.end());
+    for (const auto &it : m_abandoned.takeStartedUntil(end.server, until)) {
+        const bool hasRoom = end.abandonedRequests < maxAbandonedPerEnd;
+        if (hasRoom && known.insert(it.fingerprint).second) {
+            end.requests.push_back(it.fingerprint);
+            ++end.abandonedRequests;
+        }
+        if (hasRoom) {
+            addParts(
+                end.parts, it.parts, std::max(std::chrono::duration_cast<Age>(end.at - it.startedAt), Age::zero()));
+        }
+    }
+}
+
 /** The last attempts that the server left unanswered, oldest first. */
 std::vector<const CrashDetector::UnansweredAttempt *>
 CrashDetector::attemptsWithSameCause(const ServerIncarnation &server) const
@@ -181,11 +252,43 @@
     m_ended.push_back({std::string(server), startTimeMs, at});
 }
 
-void CrashDetector::onAnswered(const ServerIncarnation &server)
+std::optional<ServerEnd> CrashDetector::takeReportedEnd(std::string_view server, std::int64_t startTimeMs)
+{
+    ServerEnd end{{std::string(server), startTimeMs, {}}, EndEvidence::Reported, {}, {}, {}};
+    const auto at = endOf(end.server);
+    if (!at || !m_abandoned.contains(end.server)) {
+        return std::nullopt;
+    }
+    end.at = *at;
+    end.server.domain = m_abandoned.domainOf(end.server);
+    addAbandoned(end, end.at);
+    return end.requests.empty() ? std::nullopt : std::optional(std::move(end));
+}
+
+void CrashDetector::onAnswered(TimePoint now, const ServerIncarnation &server)
 {
     std::erase_if(m_ended, [&server](const RecentEnd &it) {
         return it.server == server.id && it.startTimeMs == server.startTimeMs;
     });
+    onAlive(now, server);
+}
+
+/** Requests whose time was over before @p now have not ended the server. */
+void CrashDetector::onAlive(TimePoint now, const ServerIncarnation &server)
+{
+    std::erase_if(m_unanswered, [&](const UnansweredAttempt &it) {
+        return it.deadline < now && it.server == server;
+    });
+    for (auto &it : m_abandoned.takeSurvived(server, now)) {
+        if (m_survived.size() < maxSurvived) {
+            m_survived.push_back(std::move(it));
+        }
+    }
+}
+
+std::vector<AbandonedAttempt> CrashDetector::takeSurvived()
+{
+    return std::exchange(m_survived, {});
 }
 
 std::optional<TimePoint> CrashDetector::endOf(const ServerIncarnation &server) const
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -31,8 +31,10 @@
 /** If this many owners of limits have been asked for one request, it goes to servers without a limit only. */
 constexpr std::uint32_t maxPermitsAsked = 3;
 constexpr std::size_t maxLoggedDenials = 4;
-/** An attempt that was stopped after a shorter silence says nothing about the server. */
-constexpr std::chrono::milliseconds minSuspectSilence{500};
+/** A server is probed if an attempt is stopped after a silence of this. After a shorter one it is as likely as not well. */
+constexpr std::chrono::milliseconds minProbedSilence{500};
+/** A server may notice the deadline of a request so much later than this gateway. */
+constexpr std::chrono::milliseconds deadlineSlack{500};
 
 bool isSuccess(int status)
 {
@@ -160,6 +162,7 @@
     m_context.parts.admit(m_request.parts, suspectTime(now));
     m_context.parts.recordSent(m_request.parts);
     m_server = pick->server;
+    m_address = pick->address;
     m_isSound = false;
     m_attemptAt = now;
     m_lastProgressAt = now;
@@ -266,7 +269,7 @@
     }
     if (fields.isSigned || fields.isNotRun) {
         if (!fields.isMisdirected) {
-            m_context.crashes.onAnswered(*m_server);
+            m_context.crashes.onAnswered(now, *m_server);
         }
         applyStatements(now, fields);
     }
@@ -455,10 +458,17 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
     };
     const auto silence = since(m_lastProgressAt);
-    if (verdict == Verdict::MayHaveRun && (fault || silence >= minSuspectSilence)) {
+    const auto deadline = effectiveDeadline() + deadlineSlack;
+    if (verdict == Verdict::MayHaveRun && (fault || silence >= minProbedSilence)) {
         const std::span<const Fingerprint> parts = m_request.parts;
         m_context.crashes.onUnanswered(
-            now, *m_server, m_request.fingerprint, m_isSound ? parts.first(0) : parts, m_attemptAt);
+            now, *m_server, m_request.fingerprint, m_isSound ? parts.first(0) : parts, m_attemptAt, deadline);
+    } else if (verdict == Verdict::MayHaveRun && !m_isSound) {
+        // The server may not notice that the connection was closed, and go on with the request.
+        m_context.crashes.onAbandoned(
+            *m_server, m_address, {m_request.fingerprint, m_request.parts, m_attemptAt, deadline});
+    } else if (fault == BackendFault::Unreachable) {
+        m_context.crashes.onUnreachable(*m_server);
     }
     m_summary.failedAttempts.push_back({*m_server, verdict, fault, std::move(reason), since(m_attemptAt), silence});
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -121,6 +121,7 @@
     EventSplitter m_events;
     std::vector<std::string> m_excluded; ///< Servers that were tried, or whose limits have no room.
     std::optional<ServerIncarnation> m_server; ///< Server of the current attempt.
+    std::string m_address; ///< Its address.
     bool m_hasPermit = false; ///< The current attempt has spent a permit.
     std::optional<std::string> m_awaitedServer; ///< Server for which a permit has been asked for.
     std::optional<std::string> m_preferredServer; ///< The same, after the answer; chosen before others.
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -5,6 +5,8 @@
 #include "part_suspect_codec.h"
 #include "suspect_codec.h"
 
+#include <algorithm>
+
 namespace turmericline {
 
 namespace {
@@ -17,6 +19,11 @@
 constexpr std::chrono::seconds nearPeerAge{20};
 /** In a fleet of thousands, this is more than it takes until all gateways know a report. */
 constexpr unsigned maxReportSends = 32;
+/** Servers that end for one cause, such as a failed domain, are noticed within this time. */
+constexpr std::chrono::seconds commonCauseTime{1};
+/** Bounds the messages about one server if thousands of callers have left. */
+constexpr std::size_t maxRequestsPerEnd = 256;
+constexpr std::size_t maxLoggedRequestsPerEnd = 32;
 constexpr std::size_t maxMessageBytes = 64U << 10U;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
@@ -30,6 +37,7 @@
     // Gateways are often cut off from all servers of a failure domain, which is no evidence against a request.
     settings.domainLimit = settings.totalLimit;
     settings.maxSends = maxReportSends;
+    settings.commonCauseTime = commonCauseTime;
     return settings;
 }
 
@@ -54,6 +62,18 @@
     return {std::move(refused), std::move(others)};
 }
 
+/** The requests of an end that are reported. If there are too many, abandoned ones that ended no server before give way. */
+std::vector<Fingerprint> selectRequests(const ServerEnd &end, const SuspectTable &table)
+{
+    auto requests = end.requests;
+    const auto abandoned = requests.end() - static_cast<std::ptrdiff_t>(end.abandonedRequests);
+    std::stable_partition(abandoned, requests.end(), [&table](const Fingerprint &it) {
+        return table.isKnown(it);
+    });
+    requests.resize(std::min(requests.size(), maxRequestsPerEnd));
+    return requests;
+}
+
 } // namespace
 
 GatewaySuspects::GatewaySuspects(asio::io_context &io,
@@ -111,6 +131,7 @@
     for (const auto &it : m_detector.checkAnnouncements(now, m_servers)) {
         recordEnd(now, it);
     }
+    recordSurvived(now);
     logClearedParts();
     m_caller.tick(now);
     if (m_gossip) {
@@ -201,12 +222,13 @@
 void GatewaySuspects::probe(const ServerIncarnation &server)
 {
     const auto *current = m_servers.find(server.id);
-    const bool isSameIncarnation = current != nullptr && current->record.startTimeMs == server.startTimeMs;
-    if (!isSameIncarnation || m_probes.contains(server.id)) {
+    const bool isOtherIncarnation = current != nullptr && current->record.startTimeMs != server.startTimeMs;
+    const auto address = current == nullptr ? m_detector.addressOf(server) : std::optional(current->record.address);
+    if (isOtherIncarnation || !address || m_probes.contains(server.id)) {
         return;
     }
     auto &probe = m_probes[server.id];
-    probe = std::make_unique<CrashProbe>(m_io, parseEndpoint(current->record.address));
+    probe = std::make_unique<CrashProbe>(m_io, parseEndpoint(*address));
     probe->start([this, server](ProbeResult result) {
         const auto now = std::chrono::steady_clock::now();
         if (const auto end = m_detector.onProbed(now, server, result)) {
@@ -218,16 +240,18 @@
 void GatewaySuspects::recordEnd(TimePoint now, const ServerEnd &end)
 {
     const auto incarnation = static_cast<std::uint64_t>(end.server.startTimeMs);
-    m_table.recordCrash(end.requests, end.server.id, incarnation, end.server.domain, suspectTime(now));
+    const auto requests = selectRequests(end, m_table);
+    m_table.recordCrash(requests, end.server.id, incarnation, end.server.domain, suspectTime(now));
     m_parts.recordCrash(end.parts, end.server.id, incarnation, suspectTime(end.at));
-    for (const auto &it : end.requests) {
+    for (const auto &it : std::span(requests).first(std::min(requests.size(), maxLoggedRequestsPerEnd))) {
         logEvent(LogLevel::Warning,
                  "server ended under a request",
                  {{"fingerprint", formatFingerprint(it)},
                   {"server", end.server.id},
                   {"server_start_ms", end.server.startTimeMs},
                   {"evidence", nameOf(endEvidenceNames, end.evidence)},
-                  {"unanswered_requests", end.requests.size()},
+                  {"unanswered_requests", end.requests.size() - end.abandonedRequests},
+                  {"abandoned_requests", end.abandonedRequests},
                   {"action", nameOf(suspectActionNames, m_table.decide(it, suspectTime(now)).action)}});
     }
     if (!end.parts.empty()) {
@@ -246,10 +270,27 @@
     }
 }
 
+/** Requests and parts that servers have outlived, although their callers had left, are less likely to crash servers. */
+void GatewaySuspects::recordSurvived(TimePoint now)
+{
+    for (const auto &it : m_detector.takeSurvived()) {
+        m_parts.recordSurvived(it.parts, suspectTime(now));
+        if (m_table.recordSurvived(it.fingerprint)) {
+            logEvent(LogLevel::Info,
+                     "a crash of a server is no longer put down to a request that servers have outlived",
+                     {{"fingerprint", formatFingerprint(it.fingerprint)}});
+        }
+    }
+}
+
 void GatewaySuspects::onReceived(TimePoint now, const Gossip::Received &received)
 {
     for (const auto &it : received.newEnds) {
-        m_detector.onEndReported(it.server, static_cast<std::int64_t>(it.incarnation), now - it.age);
+        const auto startTimeMs = static_cast<std::int64_t>(it.incarnation);
+        m_detector.onEndReported(it.server, startTimeMs, now - it.age);
+        if (const auto end = m_detector.takeReportedEnd(it.server, startTimeMs)) {
+            recordEnd(now, *end);
+        }
     }
     logReceived(now, received);
 }
--- a/src/gateway_suspects.h
+++ b/src/gateway_suspects.h
@@ -87,6 +87,7 @@
     void onReply(const std::string &address, const std::optional<HttpReply> &reply, const std::string &reason);
     void probe(const ServerIncarnation &server);
     void recordEnd(TimePoint now, const ServerEnd &end);
+    void recordSurvived(TimePoint now);
     void onReceived(TimePoint now, const Gossip::Received &received);
     void logReceived(TimePoint now, const Gossip::Received &received) const;
     void logClearedParts();
--- a/src/part_suspect.cpp
+++ b/src/part_suspect.cpp
@@ -40,7 +40,7 @@
     for (const auto &it : parts) {
         if (auto *part = findOrAdd(it.part, when)) {
             part->position = std::max(part->position, it.position);
-            m_hasNews |= addCrash(*part, {std::string(server), incarnation, when, when - it.runTime}, true);
+            m_hasNews |= addCrash(it.part, *part, {std::string(server), incarnation, when, when - it.runTime}, true);
         }
     }
 }
@@ -62,6 +62,17 @@
     }
 }
 
+void PartSuspects::recordSurvived(std::span<const Fingerprint> parts, Age now)
+{
+    for (const auto &it : parts) {
+        const auto n = m_history.find(it).survived + 1;
+        m_history.setSurvived(it, n % m_settings.survivedIfSound);
+        if (n >= m_settings.survivedIfSound) {
+            recordSound(std::span(&it, 1), now);
+        }
+    }
+}
+
 bool PartSuspects::merge(const PartReport &report, Age now)
 {
     const auto hasEffect = [&](const PartCrash &it) {
@@ -85,7 +96,7 @@
         isNew |= setSound(report.part, *part, *soundAt);
     }
     for (const auto &it : report.crashes) {
-        isNew |= addCrash(*part, {it.server, it.incarnation, now - it.age, now - it.requestAge}, false);
+        isNew |= addCrash(report.part, *part, {it.server, it.incarnation, now - it.age, now - it.requestAge}, false);
     }
     m_hasNews |= isNew;
     return isNew;
@@ -106,7 +117,7 @@
     return &m_parts.emplace(fingerprint, std::move(part)).first->second;
 }
 
-bool PartSuspects::addCrash(Part &part, Crash crash, bool isOwn)
+bool PartSuspects::addCrash(const Fingerprint &fingerprint, Part &part, Crash crash, bool isOwn)
 {
     if (part.soundAt && crash.when <= *part.soundAt) {
         return false;
@@ -129,6 +140,9 @@
             }));
     }
     part.sends = 0;
+    if (m_history.find(fingerprint).survived > 0) {
+        m_history.setSurvived(fingerprint, 0);
+    }
     return true;
 }
 
--- a/src/part_suspect.h
+++ b/src/part_suspect.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "part_history.h"
 #include "part_suspect_type.h"
+#include "send_history.h"
 
 #include <functional>
 #include <map>
@@ -35,6 +35,8 @@
     void recordSent(std::span<const Fingerprint> parts);
     /** Records that a server got on with an answer to a request with these parts. */
     void recordSound(std::span<const Fingerprint> parts, Age now);
+    /** Records that a server has outlived a request with these parts whose caller had left. */
+    void recordSurvived(std::span<const Fingerprint> parts, Age now);
     /** Merges a report of another process; returns false if it contains nothing new. */
     bool merge(const PartReport &report, Age now);
 
@@ -85,7 +87,7 @@
     using Parts = std::map<Fingerprint, Part>;
 
     Part *findOrAdd(const Fingerprint &fingerprint, Age now);
-    bool addCrash(Part &part, Crash crash, bool isOwn);
+    bool addCrash(const Fingerprint &fingerprint, Part &part, Crash crash, bool isOwn);
     bool setSound(const Fingerprint &fingerprint, Part &part, Age soundAt);
     static std::vector<const Crash *> unexplained(const Part &part, const std::vector<const Crash *> &explained);
     std::size_t seriesCount(std::vector<const Crash *> crashes) const;
@@ -103,7 +105,7 @@
 
     PartSuspectSettings m_settings;
     std::mt19937_64 m_random;
-    PartHistory m_history;
+    SendHistory m_history;
     Parts m_parts;
     std::vector<Fingerprint> m_cleared; ///< For takeCleared(); bounded by the number of parts.
     bool m_hasNews = false;
--- a/src/part_suspect_type.h
+++ b/src/part_suspect_type.h
@@ -60,6 +60,11 @@
     Age maxHold{std::chrono::seconds(300)};
     /** A request that tests whether a part still crashes servers has shown its effect after this time. */
     Age testTime{std::chrono::seconds(10)};
+    /**
+     * A part counts as sound once servers have outlived so many requests with it whose callers had left, with no crash
+     * in between. A server that notices that its caller has left does not run the request, so fewer prove nothing.
+     */
+    std::uint32_t survivedIfSound = 8;
     std::size_t maxParts = 512; ///< Bound of the parts with crashes.
     std::size_t maxCrashesPerPart = 8;
     std::size_t maxHistory = 4'096; ///< Bound of the parts whose use is remembered.
--- a/src/suspect.cpp
+++ b/src/suspect.cpp
@@ -25,6 +25,9 @@
     XXH3_128bits_update(state, part.data(), part.size());
 }
 
+/** Bounds the memory of servers that have ended; the oldest reports give way. */
+constexpr std::size_t maxEnds = 1'024;
+
 std::uint64_t rank(const Fingerprint &fingerprint, std::string_view server)
 {
     return XXH3_64bits_withSeed(server.data(), server.size(), fingerprint.high ^ fingerprint.low);
@@ -50,6 +53,7 @@
 
 SuspectTable::SuspectTable(SuspectSettings settings)
     : m_settings(settings)
+    , m_history(settings.maxHistory)
 {
 }
 
@@ -74,8 +78,62 @@
         }
         it = m_suspects.emplace(report.fingerprint, Crashes{}).first;
     }
-    return insert(
-        it->second, {report.server, report.incarnation, report.domain, now - report.age, report.isCleared, 0}, now);
+    Crash crash{report.server, report.incarnation, report.domain, now - report.age, report.isCleared, 0};
+    recordEnd(crash);
+    const bool isNew = insert(it->second, std::move(crash), now);
+    clearSurvived(report.fingerprint, it->second);
+    return isNew;
+}
+
+void SuspectTable::recordEnd(const Crash &crash)
+{
+    const bool isKnown = std::any_of(m_ends.rbegin(), m_ends.rend(), [&crash](const End &it) {
+        return it.server == crash.server && it.incarnation == crash.incarnation;
+    });
+    if (isKnown || m_settings.commonCauseTime == Age::zero()) {
+        return;
+    }
+    if (m_ends.size() >= maxEnds) {
+        m_ends.pop_front();
+    }
+    m_ends.push_back({crash.server, crash.incarnation, crash.when});
+}
+
+bool SuspectTable::recordSurvived(const Fingerprint &fingerprint)
+{
+    const auto n = m_history.find(fingerprint).survived;
+    m_history.setSurvived(fingerprint, std::min(n + 1, m_settings.maxSurvived));
+    const auto it = m_suspects.find(fingerprint);
+    return it != m_suspects.end() && clearSurvived(fingerprint, it->second);
+}
+
+/** Clears the oldest crashes of a fingerprint for the attempts that servers have outlived. */
+bool SuspectTable::clearSurvived(const Fingerprint &fingerprint, Crashes &crashes)
+{
+    bool hasCleared = false;
+    auto n = m_history.find(fingerprint).survived;
+    while (n >= m_settings.survivedPerCrash) {
+        Crash *oldest = nullptr;
+        for (auto &it : crashes) {
+            if (!it.isCleared && (oldest == nullptr || it.when < oldest->when)) {
+                oldest = &it;
+            }
+        }
+        if (oldest == nullptr) {
+            break;
+        }
+        oldest->isCleared = true;
+        oldest->sends = 0;
+        n -= m_settings.survivedPerCrash;
+        m_history.setSurvived(fingerprint, n);
+        hasCleared = true;
+    }
+    return hasCleared;
+}
+
+bool SuspectTable::isKnown(const Fingerprint &fingerprint) const
+{
+    return m_suspects.contains(fingerprint);
 }
 
 bool SuspectTable::insert(Crashes &crashes, Crash crash, Age now) const
@@ -135,16 +193,47 @@
     return found;
 }
 
+/** Servers other than those of @p crashes that ended at about the same time. */
+std::size_t SuspectTable::otherEnds(std::span<const Crash *const> crashes) const
+{
+    const auto last = crashes.front()->when + m_settings.commonCauseTime;
+    const auto first = crashes.back()->when - m_settings.commonCauseTime;
+    const auto n = std::count_if(m_ends.begin(), m_ends.end(), [&](const End &it) {
+        return it.when >= first && it.when <= last;
+    });
+    return static_cast<std::size_t>(n) - std::min(static_cast<std::size_t>(n), crashes.size());
+}
+
+/** Of crashes at the same time, @p active has the last one first; only that one is kept if they have a common cause. */
+std::vector<const SuspectTable::Crash *> SuspectTable::independentCrashes(std::vector<const Crash *> active) const
+{
+    std::vector<const Crash *> kept;
+    for (std::size_t begin = 0; begin < active.size();) {
+        std::size_t end = begin + 1;
+        while (end < active.size() && active[begin]->when - active[end]->when < m_settings.commonCauseTime) {
+            ++end;
+        }
+        const std::span crashes(active.data() + begin, end - begin);
+        const bool haveCommonCause = crashes.size() > 1 && otherEnds(crashes) >= crashes.size();
+        kept.insert(kept.end(), crashes.begin(), haveCommonCause ? crashes.begin() + 1 : crashes.end());
+        begin = end;
+    }
+    return kept;
+}
+
 SuspectDecision SuspectTable::decide(const Fingerprint &fingerprint, Age now) const
 {
     const auto it = m_suspects.find(fingerprint);
     if (it == m_suspects.end()) {
         return {};
     }
-    const auto active = activeCrashes(it->second, now);
+    auto active = activeCrashes(it->second, now);
     if (active.empty()) {
         return {};
     }
+    if (active.size() > 1 && m_settings.commonCauseTime > Age::zero()) {
+        active = independentCrashes(std::move(active));
+    }
     std::map<std::string_view, std::size_t> perDomain;
     std::size_t most = 0;
     for (const auto *crash : active) {
@@ -195,23 +284,29 @@
 std::vector<CrashReport>
 SuspectTable::nextReports(std::size_t n, Age now, const std::function<bool(const CrashReport &)> &fits)
 {
-    std::vector<std::pair<const Fingerprint *, Crash *>> choices;
+    struct Choice
+    {
+        const Fingerprint *fingerprint;
+        Crash *crash;
+        std::size_t crashes; ///< Of the fingerprint; one that ends servers again and again has more than all others.
+    };
+    std::vector<Choice> choices;
     for (auto &[fingerprint, crashes] : m_suspects) {
         if (isReportable(crashes, now)) {
             for (auto &it : crashes) {
                 if (it.sends < m_settings.maxSends) {
-                    choices.emplace_back(&fingerprint, &it);
+                    choices.push_back({&fingerprint, &it, crashes.size()});
                 }
             }
         }
     }
     const auto middle = choices.begin() + static_cast<std::ptrdiff_t>(std::min(n, choices.size()));
     std::partial_sort(choices.begin(), middle, choices.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.second->sends, b.second->when) < std::tie(b.second->sends, a.second->when);
+        return std::tie(a.crash->sends, b.crashes, b.crash->when) < std::tie(b.crash->sends, a.crashes, a.crash->when);
     });
     choices.erase(middle, choices.end());
     std::vector<CrashReport> reports;
-    for (const auto &[fingerprint, crash] : choices) {
+    for (const auto &[fingerprint, crash, count] : choices) {
         CrashReport report{
             *fingerprint, crash->server, crash->incarnation, crash->domain, now - crash->when, crash->isCleared};
         if (fits && !fits(report)) {
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "send_history.h"
 #include "suspect_type.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -40,6 +43,12 @@
     /** Clears all known reports of a fingerprint, after a request with it has completed; returns whether it had any. */
     bool complete(const Fingerprint &fingerprint);
 
+    /** Records that a server has outlived an attempt whose caller had left; returns whether that clears a crash. */
+    bool recordSurvived(const Fingerprint &fingerprint);
+
+    /** Whether there are reports of the fingerprint. */
+    bool isKnown(const Fingerprint &fingerprint) const;
+
     /** Reports about one fingerprint, to be sent with a request that has it. */
     std::vector<CrashReport> reportsOf(const Fingerprint &fingerprint, Age now) const;
 
@@ -72,7 +81,19 @@
     using Crashes = std::vector<Crash>;
     using Suspects = std::map<Fingerprint, Crashes>;
 
+    /** End of a server, whatever was in flight. */
+    struct End
+    {
+        std::string server;
+        std::uint64_t incarnation = 0;
+        Age when{};
+    };
+
     std::vector<const Crash *> activeCrashes(const Crashes &crashes, Age now) const;
+    std::vector<const Crash *> independentCrashes(std::vector<const Crash *> active) const;
+    std::size_t otherEnds(std::span<const Crash *const> crashes) const;
+    void recordEnd(const Crash &crash);
+    bool clearSurvived(const Fingerprint &fingerprint, Crashes &crashes);
     bool isReportable(const Crashes &crashes, Age now) const;
     bool makeRoom(Age now);
     static bool mergeEstimate(Crash &known, const Crash &received);
@@ -80,6 +101,8 @@
 
     SuspectSettings m_settings;
     Suspects m_suspects;
+    SendHistory m_history;
+    std::deque<End> m_ends; ///< Oldest report first.
 };
 
 /**
--- a/src/suspect_type.h
+++ b/src/suspect_type.h
@@ -73,6 +73,18 @@
     std::size_t totalLimit = 3; ///< Total number of crashes from which a fingerprint is refused.
     std::size_t maxFingerprints = 4096;
     std::size_t maxReportsPerFingerprint = 8;
+    /**
+     * A request whose caller leaves gets no answer that could clear it. Each time that servers have outlived so many
+     * attempts with it, one of its crashes is cleared: one that crashes servers ends far more of them.
+     */
+    std::uint32_t survivedPerCrash = 16;
+    std::uint32_t maxSurvived = 32; ///< Bound of those that count for crashes to come.
+    std::size_t maxHistory = 4'096; ///< Bound of the fingerprints whose outlived attempts are remembered.
+    /**
+     * Crashes of a fingerprint that follow each other by less count once if as many other servers ended in that time:
+     * a failure domain has failed, for example. 0: each one counts.
+     */
+    Age commonCauseTime{0};
     /** A report is left out of messages after so many of them. Processes that missed some must ask for all. */
     unsigned maxSends = std::numeric_limits<unsigned>::max();
 };
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /** How servers end under the crashing request, and start again. */
@@ -18,6 +20,7 @@
 {
     bool isSilent = false; ///< Connections stay open without an answer, instead of being closed.
     bool hasNewId = false; ///< A server that starts again has a new id, instead of a later start time.
+    bool isAfterCaller = false; ///< Servers end once the caller of the crashing request has left; see callAndLeave().
 };
 
 /** What a caller of GatewayFleet sends. */
@@ -102,14 +105,7 @@
         std::vector<std::unique_ptr<RawCaller>> callers;
         for (const auto &[i, request] : requests) {
             callers.push_back(std::make_unique<RawCaller>(m_io, m_gateways[i]->process().port()));
-            callers.back()->send(
-                fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nAttempt-Id: a{}\r\nApi-Key: k\r\n{}"
-                            "Content-Length: {}\r\n\r\n{}",
-                            request.path,
-                            ++m_callCount,
-                            request.parts.empty() ? std::string() : "Prompt-Prefix: " + request.parts + "\r\n",
-                            request.body.size(),
-                            request.body));
+            callers.back()->send(messageOf(request));
         }
         std::vector<RawAnswer> answers;
         answers.reserve(callers.size());
@@ -120,30 +116,62 @@
         return answers;
     }
 
+    /**
+     * Sends a request through gateway @p i whose caller leaves once a server has got it. Returns the answer if the gateway
+     * refuses it instead. With ServerEndMode::isAfterCaller, a server that it ends has ended and started again afterwards.
+     */
+    RawAnswer callAndLeave(std::size_t i, const FleetRequest &request)
+    {
+        const auto arrivals = totalArrivals();
+        RawCaller caller(m_io, m_gateways[i]->process().port());
+        caller.send(messageOf(request));
+        std::optional<RawAnswer> answer;
+        caller.onAnswer([&answer](const RawAnswer &it) {
+            answer = it;
+        });
+        while (!answer && totalArrivals() == arrivals) {
+            m_io.run_one();
+        }
+        caller.close();
+        while (!answer && !m_nextEnd) {
+            m_io.run_one();
+        }
+        // The gateway answers later events after earlier ones, so it knows by then that the caller has left.
+        m_gateways[i]->get("/status");
+        if (const auto server = std::exchange(m_nextEnd, std::nullopt)) {
+            endServer(*server);
+        }
+        restartEndedServers();
+        return answer.value_or(RawAnswer{});
+    }
+
+    /** Like waitForReports(), of whole requests or of parts, for all gateways; gives up and returns false after a while. */
+    bool areReportsKnown(const std::string &path, bool isPart)
+    {
+        constexpr int maxQuestions = 20'000;
+        for (std::size_t n = 0; n < m_gateways.size(); ++n) {
+            for (int k = 0; (isPart ? partCrashes(suspectsOf(n)) : requestCrashes(suspectsOf(n), path)) < m_crashCount;
+                 ++k) {
+                if (k == maxQuestions) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
     /** Waits until a gateway other than @p i knows of all crashes by copies at @p path, so that @p i can be restarted. */
     void waitForReports(std::size_t i, const std::string &path)
     {
-        const auto fingerprint
-            = turmericline::formatFingerprint(turmericline::fingerprintOf("t", "POST " + path, crashingBody));
-        waitUntilKnown(i, [&](const nlohmann::json &suspects) {
-            const auto &crashes = suspects.at("crashes");
-            return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](const auto &it) {
-                return it.at("fingerprint") == fingerprint;
-            }));
+        waitUntilKnown(i, [&path](const nlohmann::json &suspects) {
+            return requestCrashes(suspects, path);
         });
     }
 
     /** As waitForReports(), of all crashes by requests with the crashing part. */
     void waitForPartReports(std::size_t i)
     {
-        waitUntilKnown(i, [](const nlohmann::json &suspects) {
-            for (const auto &it : suspects.at("prompt_parts").at("parts")) {
-                if (it.at("part").get<std::string>().ends_with(crashingPart)) {
-                    return it.at("crashes").get<std::size_t>();
-                }
-            }
-            return std::size_t{0};
-        });
+        waitUntilKnown(i, partCrashes);
     }
 
     /** Server @p i states @p limit, requests a second, in its answers from now on; an empty text ends that. */
@@ -178,6 +206,48 @@
         bool hasEnded = false;
     };
 
+    std::string messageOf(const FleetRequest &request)
+    {
+        return fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nAttempt-Id: a{}\r\nApi-Key: k\r\n{}"
+                           "Content-Length: {}\r\n\r\n{}",
+                           request.path,
+                           ++m_callCount,
+                           request.parts.empty() ? std::string() : "Prompt-Prefix: " + request.parts + "\r\n",
+                           request.body.size(),
+                           request.body);
+    }
+
+    std::size_t totalArrivals() const
+    {
+        std::size_t n = 0;
+        for (const auto &it : m_servers) {
+            n += it.replica ? it.replica->received().size() : 0;
+        }
+        return n;
+    }
+
+    /** Crashes that a gateway knows of copies of the crashing request at @p path. */
+    static std::size_t requestCrashes(const nlohmann::json &suspects, const std::string &path)
+    {
+        const auto fingerprint
+            = turmericline::formatFingerprint(turmericline::fingerprintOf("t", "POST " + path, crashingBody));
+        const auto &crashes = suspects.at("crashes");
+        return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](const auto &it) {
+            return it.at("fingerprint") == fingerprint;
+        }));
+    }
+
+    /** Crashes that a gateway knows of requests with the crashing part. */
+    static std::size_t partCrashes(const nlohmann::json &suspects)
+    {
+        for (const auto &it : suspects.at("prompt_parts").at("parts")) {
+            if (it.at("part").get<std::string>().ends_with(crashingPart)) {
+                return it.at("crashes").get<std::size_t>();
+            }
+        }
+        return 0;
+    }
+
     void startServer(std::size_t i)
     {
         auto &server = m_servers[i];
@@ -192,7 +262,11 @@
                 return isCrashing(request);
             },
             [this, i] {
-                endServer(i);
+                if (m_mode.isAfterCaller) {
+                    m_nextEnd = i;
+                } else {
+                    endServer(i);
+                }
             });
         m_store.put(server.key,
                     R"({"service":"s","zone":"d","state":"ready","address":"127.0.0.1:)"
@@ -261,6 +335,7 @@
     std::vector<ReservedPort> m_serverPorts;
     std::vector<ReservedPort> m_peerPorts; ///< By gateway; kept over restarts, as instances keep their addresses.
     std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
+    std::optional<std::size_t> m_nextEnd; ///< Server that ends once the caller has left.
     std::size_t m_crashCount = 0;
     std::size_t m_crashingPartArrivals = 0;
     std::size_t m_callCount = 0;
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -94,6 +95,17 @@
         return answer;
     }
 
+    /** Calls @p handler once the answer has been received, while the io_context runs. To be called once, before close(). */
+    void onAnswer(std::function<void(const RawAnswer &answer)> handler)
+    {
+        m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                            [this, handler = std::move(handler)](asio::error_code ec) {
+                                if (!ec) {
+                                    handler(answer());
+                                }
+                            });
+    }
+
     /** Reads until the connection ends and returns the received bytes that were not consumed before. */
     std::string rest()
     {
--- a/tests/unit_crash_detector_test.cpp
+++ b/tests/unit_crash_detector_test.cpp
@@ -22,6 +22,14 @@
     CPPUNIT_TEST(serverThatAnswersHasNotEnded);
     CPPUNIT_TEST(earlierFailuresAddNoParts);
     CPPUNIT_TEST(partsOfAnEndAreCounted);
+    CPPUNIT_TEST(abandonedRequestCountsWithoutAProbe);
+    CPPUNIT_TEST(abandonedRequestIsFoundWithTheOthers);
+    CPPUNIT_TEST(abandonedRequestIsOutlived);
+    CPPUNIT_TEST(refusedConnectionCausesAProbeForAbandonedRequests);
+    CPPUNIT_TEST(withdrawalIsNoEndForAbandonedRequests);
+    CPPUNIT_TEST(leavingServerDoesNotCountForAbandonedRequests);
+    CPPUNIT_TEST(endReportedByAnotherGatewayCounts);
+    CPPUNIT_TEST(floodOfAbandonedRequestsTakesNoEvidence);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{1'000s};
@@ -58,6 +66,12 @@
         CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
     }
 
+    /** The caller of a request leaves 50 ms after it was sent; its deadline is 1 s after that. */
+    void abandon(const std::string &body, std::vector<Fingerprint> parts = {})
+    {
+        m_detector.onAbandoned(m_server, "127.0.0.1:1", {request(body), std::move(parts), m_now - 50ms, m_now + 950ms});
+    }
+
 public:
     void setUp() override
     {
@@ -162,7 +176,7 @@
         m_servers.remove("a");
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_detector.checkAnnouncements(m_now, m_servers).size());
         announce("a", 1);
-        m_detector.onAnswered(m_server);
+        m_detector.onAnswered(m_now, m_server);
         CPPUNIT_ASSERT(!m_detector.endOf(m_server));
         m_detector.onUnanswered(m_now, m_server, request("x"), parts, m_now - 50ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_detector.onProbed(m_now, m_server, ProbeResult::Refused)->parts.size());
@@ -190,6 +204,124 @@
         const auto end = m_detector.onProbed(m_now, m_server, ProbeResult::Refused);
         CPPUNIT_ASSERT(end->parts == (std::vector<PartInFlight>{{shared, 0, 20ms}, {other, 1, 50ms}}));
     }
+
+    /** The server may go on with a request whose caller has left; callers leave too often for a probe each time. */
+    void abandonedRequestCountsWithoutAProbe()
+    {
+        const std::vector parts{partFingerprint("s", 1)};
+        abandon("x", parts);
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now).empty());
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+        m_now += 2'600ms;
+        announce("a", 2);
+        const auto ends = m_detector.checkAnnouncements(m_now, m_servers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT(ends.front().requests == std::vector{request("x")});
+        CPPUNIT_ASSERT(ends.front().parts == (std::vector<PartInFlight>{{parts.front(), 0, 2'650ms}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.front().abandonedRequests);
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+    }
+
+    void abandonedRequestIsFoundWithTheOthers()
+    {
+        const std::vector parts{partFingerprint("s", 1)};
+        abandon("x", parts);
+        m_now += 30ms;
+        m_detector.onUnanswered(m_now, m_server, request("y"), {}, m_now - 20ms);
+        const auto end = m_detector.onProbed(m_now + 10ms, m_server, ProbeResult::Refused);
+        CPPUNIT_ASSERT((end->requests == std::vector{request("y"), request("x")}));
+        CPPUNIT_ASSERT(end->parts == (std::vector<PartInFlight>{{parts.front(), 0, 80ms}}));
+        CPPUNIT_ASSERT(end->at == m_now);
+    }
+
+    /** Otherwise each sound request whose caller leaves would be suspected as well. */
+    void abandonedRequestIsOutlived()
+    {
+        abandon("x");
+        m_detector.onAnswered(m_now + 900ms, m_server);
+        CPPUNIT_ASSERT(m_detector.takeSurvived().empty());
+        m_detector.onAnswered(m_now + 951ms, m_other);
+        CPPUNIT_ASSERT(m_detector.takeSurvived().empty());
+        m_detector.onAnswered(m_now + 951ms, m_server);
+        const auto survived = m_detector.takeSurvived();
+        CPPUNIT_ASSERT(survived.size() == 1 && survived.front().fingerprint == request("x"));
+        announce("a", 2);
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now + 960ms, m_servers).empty());
+    }
+
+    void refusedConnectionCausesAProbeForAbandonedRequests()
+    {
+        m_detector.onUnreachable(m_server);
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now).empty());
+        abandon("x");
+        m_detector.onUnreachable(m_other);
+        m_detector.onUnreachable(m_server);
+        m_detector.onUnreachable(m_server);
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now) == std::vector{m_server});
+        CPPUNIT_ASSERT(!m_detector.onProbed(m_now, m_server, ProbeResult::Silent));
+        const auto end = m_detector.onProbed(m_now, m_server, ProbeResult::Refused);
+        CPPUNIT_ASSERT(end->requests == std::vector{request("x")});
+    }
+
+    /** Some servers that leave as planned only take their announcement away, and serve on for a while. */
+    void withdrawalIsNoEndForAbandonedRequests()
+    {
+        for (const auto result : {ProbeResult::Listening, ProbeResult::Refused}) {
+            announce("a", 1);
+            abandon("x");
+            m_servers.remove("a");
+            CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+            CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+            CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now) == std::vector{m_server});
+            CPPUNIT_ASSERT(m_detector.addressOf(m_server) == "127.0.0.1:1");
+            const auto end = m_detector.onProbed(m_now, m_server, result);
+            CPPUNIT_ASSERT_EQUAL(result == ProbeResult::Refused, end.has_value());
+            CPPUNIT_ASSERT(!m_detector.addressOf(m_server));
+            m_now += 2s;
+        }
+    }
+
+    void leavingServerDoesNotCountForAbandonedRequests()
+    {
+        abandon("x");
+        announce("a", 1, true);
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+        announce("a", 2);
+        CPPUNIT_ASSERT(m_detector.checkAnnouncements(m_now, m_servers).empty());
+    }
+
+    /** Each gateway knows only of its own requests, and only some of them notice the end by themselves. */
+    void endReportedByAnotherGatewayCounts()
+    {
+        abandon("x");
+        m_now += 500ms;
+        abandon("y");
+        m_detector.onEndReported("a", 1, m_now - 100ms);
+        const auto end = m_detector.takeReportedEnd("a", 1);
+        CPPUNIT_ASSERT(end->server == m_server && end->evidence == EndEvidence::Reported);
+        CPPUNIT_ASSERT(end->requests == std::vector{request("x")});
+        CPPUNIT_ASSERT(!m_detector.takeReportedEnd("a", 1) && !m_detector.takeReportedEnd("b", 1));
+    }
+
+    /** 10,000 callers a second leave, all at one server. */
+    void floodOfAbandonedRequestsTakesNoEvidence()
+    {
+        m_detector.onUnanswered(m_now, m_other, request("z"), {}, m_now);
+        abandon("x");
+        for (int n = 0; n < 40'000; ++n) {
+            if (n % 10 == 0) {
+                m_now += 1ms;
+                m_detector.onAnswered(m_now, m_other);
+            }
+            abandon("sound " + std::to_string(n));
+            m_detector.takeSurvived();
+        }
+        CPPUNIT_ASSERT(m_detector.takeServersToProbe(m_now) == std::vector{m_other});
+        CPPUNIT_ASSERT(m_detector.onProbed(m_now, m_other, ProbeResult::Refused)->requests
+                       == std::vector{request("z")});
+        const auto end = m_detector.onProbed(m_now, m_server, ProbeResult::Refused);
+        CPPUNIT_ASSERT(end->requests.size() <= 1'024);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashDetectorTest);
--- a/tests/unit_exchange_part_test.cpp
+++ b/tests/unit_exchange_part_test.cpp
@@ -22,6 +22,10 @@
     CPPUNIT_TEST(completeAnswerProvesParts);
     CPPUNIT_TEST(errorsOfServersProveNothing);
     CPPUNIT_TEST(requestWithAnswerIsNoCandidate);
+    CPPUNIT_TEST(callerThatLeavesEarlyDoesNotHideARequest);
+    CPPUNIT_TEST(deadlineDoesNotHideARequest);
+    CPPUNIT_TEST(cancelledStreamWithAnAnswerIsNoCandidate);
+    CPPUNIT_TEST(refusedConnectionTellsOfAbandonedRequests);
     CPPUNIT_TEST_SUITE_END();
 
     ExchangeFixture m_fixture;
@@ -180,6 +184,57 @@
         expectResent(exchange.onFailure(m_fixture.now, reset()), server);
         CPPUNIT_ASSERT(probe(server, ProbeResult::Refused)->parts.empty());
     }
+
+    /** After 10 ms as after 4 s; only after a long silence is the server probed. */
+    void callerThatLeavesEarlyDoesNotHideARequest()
+    {
+        for (const auto kind : {RouteKind::Stream, RouteKind::Safe, RouteKind::Unsafe}) {
+            m_fixture.rule.kind = kind;
+            for (const auto after : {10ms, 50ms, 1'000ms, 4'000ms}) {
+                auto [exchange, server] = startOne();
+                m_fixture.now += after;
+                exchange.onCallerDisconnect(m_fixture.now);
+                CPPUNIT_ASSERT_EQUAL(after >= 500ms, !m_fixture.crashes.takeServersToProbe(m_fixture.now).empty());
+                m_fixture.now += 30ms;
+                const auto end = probe(server, ProbeResult::Refused);
+                CPPUNIT_ASSERT(end && end->requests == std::vector{Fingerprint{}});
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, end->parts.size());
+                m_fixture.crashes.onAnswered(m_fixture.now, server);
+                m_fixture.now += 60s;
+            }
+        }
+    }
+
+    void deadlineDoesNotHideARequest()
+    {
+        m_fixture.rule.timeout = 300ms;
+        auto [exchange, server] = startOne();
+        m_fixture.now += 300ms;
+        CPPUNIT_ASSERT(exchange.onTick(m_fixture.now).size() > 0 && exchange.isEnded());
+        CPPUNIT_ASSERT(probe(server, ProbeResult::Refused)->requests == std::vector{Fingerprint{}});
+    }
+
+    void cancelledStreamWithAnAnswerIsNoCandidate()
+    {
+        auto [exchange, server] = startOne();
+        exchange.onHead(m_fixture.now, ExchangeFixture::head(200), ExchangeFixture::signedFields());
+        exchange.onBody(m_fixture.now, event(1));
+        m_fixture.now += 200ms;
+        exchange.onBody(m_fixture.now, event(2));
+        exchange.onCallerDisconnect(m_fixture.now);
+        CPPUNIT_ASSERT(!probe(server, ProbeResult::Refused));
+    }
+
+    void refusedConnectionTellsOfAbandonedRequests()
+    {
+        for (int n = 0; n < 6; ++n) {
+            startOne().first.onCallerDisconnect(m_fixture.now);
+        }
+        CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now).empty());
+        auto [exchange, server] = startOne();
+        exchange.onFailure(m_fixture.now, {Verdict::NotRun, BackendFault::Unreachable, "no connection"});
+        CPPUNIT_ASSERT(m_fixture.crashes.takeServersToProbe(m_fixture.now) == std::vector{server});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExchangePartTest);
