Suspect cancelled calls in the own fleet as well

Agents keep such calls until the server has answered after their deadline, and report them with those that were in flight.

--- a/src/agent.cpp
+++ b/src/agent.cpp
@@ -324,6 +324,7 @@
 void Agent::onBackendHead(const Call &call, int status, const HttpHeaders &headers)
 {
     call->lastDataAt = AgentCall::Clock::now();
+    m_isolation.onAlive(call);
     call->status = status;
     auto kept = forwardedHeaders(headers);
     if (call->ticket) {
@@ -363,6 +364,7 @@
         m_suspects.complete(call->fingerprint, provenParts(call->status, call->parts));
         finish(call, Verdict::Run, {});
     } else if (!result.sent) {
+        m_isolation.onUnreachable();
         finish(call, Verdict::NotRun, "backend server refused the connection");
     } else {
         m_isolation.onConnectionBroken(call, "backend server: " + result.error);
@@ -382,6 +384,7 @@
     }
     if (call->isRunning) {
         m_http.cancel(call->backendRequest);
+        m_isolation.abandon(call);
         finish(call, Verdict::MayHaveRun, "cancelled");
     } else {
         finish(call, Verdict::NotRun, "cancelled");
@@ -448,12 +451,14 @@
         m_ledger->expire(age());
         m_binder->expire(age());
     }
+    m_isolation.tick();
     dispatch();
     const auto now = AgentCall::Clock::now();
     const auto calls = m_calls;
     for (const auto &[id, it] : calls) {
         if (it->isRunning && now - it->lastDataAt > m_settings.backendSilence) {
             m_http.cancel(it->backendRequest);
+            m_isolation.abandon(it);
             finish(it, Verdict::MayHaveRun, "backend server is silent");
         }
     }
--- a/src/agent_isolation.cpp
+++ b/src/agent_isolation.cpp
@@ -12,6 +12,30 @@
 /** As in Exchange: a server that crashes as it begins an answer may have sent the first bytes of it. */
 constexpr std::chrono::milliseconds soundAnswerTime{100};
 
+/** From one probe to the next while a cancelled call may end the server. */
+constexpr std::chrono::milliseconds abandonedProbePeriod{500};
+/** Bounds what one crash adds if thousands of callers have left. */
+constexpr std::size_t maxAbandonedPerCrash = 256;
+/** A server may notice the deadline of a call so much later than this agent. */
+constexpr std::chrono::milliseconds deadlineSlack{500};
+
+bool hasGotOn(const AgentCall &call)
+{
+    return call.firstDataAt && call.lastDataAt - *call.firstDataAt >= soundAnswerTime;
+}
+
+void addParts(std::vector<PartInFlight> &found, const std::vector<Fingerprint> &parts, Age runTime)
+{
+    for (std::uint32_t n = 0; n < parts.size(); ++n) {
+        const bool isKnown = std::ranges::any_of(found, [&part = parts[n]](const PartInFlight &it) {
+            return it.part == part;
+        });
+        if (!isKnown) {
+            found.push_back({parts[n], n, runTime});
+        }
+    }
+}
+
 /** Calls without a valid fingerprint share the zero fingerprint, which is never reported. */
 Fingerprint fingerprintOf(const AgentCall &call)
 {
@@ -30,6 +54,7 @@
     , m_suspects(suspects)
     , m_handlers(std::move(handlers))
     , m_probe(io, settings.backendUrl)
+    , m_abandonedProbe(io, settings.backendUrl)
 {
 }
 
@@ -104,12 +129,66 @@
     }
 }
 
-std::vector<Fingerprint> AgentIsolation::currentSuspects() const
+ServerIncarnation AgentIsolation::currentRun() const
+{
+    return {m_settings.server, static_cast<std::int64_t>(m_run), m_settings.domain};
+}
+
+void AgentIsolation::abandon(const Call &call)
+{
+    if (call->backendRun == m_run && !hasGotOn(*call)) {
+        m_abandoned.add(currentRun(),
+                        m_settings.backendUrl,
+                        {fingerprintOf(*call), call->parts, call->startedAt, call->deadline + deadlineSlack});
+    }
+}
+
+void AgentIsolation::onAlive(const Call &call)
+{
+    if (call->backendRun != m_run) {
+        return;
+    }
+    for (const auto &it : m_abandoned.takeSurvived(currentRun(), AgentCall::Clock::now())) {
+        m_suspects.recordSurvived(it.fingerprint, it.parts);
+    }
+}
+
+void AgentIsolation::onUnreachable()
+{
+    if (m_abandoned.contains(currentRun()) && !m_abandonedProbe.isRunning()) {
+        m_abandonedProbe.start([this, run = m_run](ProbeResult result) {
+            onAbandonedProbeDone(run, result);
+        });
+    }
+}
+
+void AgentIsolation::tick()
+{
+    const auto now = AgentCall::Clock::now();
+    if (now >= m_nextAbandonedProbeAt) {
+        m_nextAbandonedProbeAt = now + abandonedProbePeriod;
+        m_abandoned.expire(now - abandonedProbePeriod * 2);
+        onUnreachable();
+    }
+}
+
+void AgentIsolation::onAbandonedProbeDone(std::uint64_t run, ProbeResult result)
+{
+    // The broken calls have a probe of their own, which tells of the same end.
+    if (result == ProbeResult::Refused && run == m_run && m_brokenCalls.empty()) {
+        recordCrash();
+    }
+}
+
+std::vector<Fingerprint> AgentIsolation::currentSuspects(std::span<const AbandonedAttempt> abandoned) const
 {
     auto found = m_gate.inFlight();
     for (const auto &it : m_brokenCalls) {
         found.push_back(fingerprintOf(*it.call)); // The call may have been cancelled during the probe.
     }
+    for (const auto &it : abandoned) {
+        found.push_back(it.fingerprint);
+    }
     std::ranges::sort(found, [](const auto &a, const auto &b) {
         return a < b;
     });
@@ -118,24 +197,21 @@
     return found;
 }
 
-/** Shared messages of the broken calls whose answers the server had not got on with. */
-std::vector<PartInFlight> AgentIsolation::partsInFlight() const
+/** Shared messages of the broken and the cancelled calls whose answers the server had not got on with. */
+std::vector<PartInFlight> AgentIsolation::partsInFlight(std::span<const AbandonedAttempt> abandoned) const
 {
+    const auto runTime = [](AgentCall::Clock::time_point startedAt) {
+        return std::chrono::duration_cast<Age>(AgentCall::Clock::now() - startedAt);
+    };
     std::vector<PartInFlight> found;
     for (const auto &[call, reason] : m_brokenCalls) {
-        if (call->firstDataAt && call->lastDataAt - *call->firstDataAt >= soundAnswerTime) {
-            continue;
-        }
-        const auto runTime = std::chrono::duration_cast<Age>(AgentCall::Clock::now() - call->startedAt);
-        for (std::uint32_t n = 0; n < call->parts.size(); ++n) {
-            const bool isKnown = std::ranges::any_of(found, [&part = call->parts[n]](const PartInFlight &it) {
-                return it.part == part;
-            });
-            if (!isKnown) {
-                found.push_back({call->parts[n], n, runTime});
-            }
+        if (!hasGotOn(*call)) {
+            addParts(found, call->parts, runTime(call->startedAt));
         }
     }
+    for (const auto &it : abandoned) {
+        addParts(found, it.parts, runTime(it.startedAt));
+    }
     return found;
 }
 
@@ -156,12 +232,17 @@
 
 void AgentIsolation::recordCrash()
 {
-    const auto suspects = currentSuspects();
-    m_suspects.recordCrash(suspects, m_settings.server, m_run, m_settings.domain, partsInFlight());
+    auto abandoned = m_abandoned.takeStartedUntil(currentRun(), AgentCall::Clock::now());
+    // Those that were sent last are the most likely cause.
+    abandoned.resize(std::min(abandoned.size(), maxAbandonedPerCrash));
+    const auto suspects = currentSuspects(abandoned);
+    m_suspects.recordCrash(suspects, m_settings.server, m_run, m_settings.domain, partsInFlight(abandoned));
     ++m_run;
     logEvent(LogLevel::Warning,
              "backend server died",
-             {{"broken", m_brokenCalls.size()}, {"suspected_fingerprints", suspects.size()}});
+             {{"broken", m_brokenCalls.size()},
+              {"cancelled", abandoned.size()},
+              {"suspected_fingerprints", suspects.size()}});
 }
 
 std::size_t AgentIsolation::heldCount() const
--- a/src/suspect_sync.cpp
+++ b/src/suspect_sync.cpp
@@ -165,6 +165,15 @@
     }
 }
 
+void SuspectSync::recordSurvived(const Fingerprint &fingerprint, Parts parts)
+{
+    m_parts.recordSurvived(parts, now());
+    announceNews(reportsOf(parts), Origin::Own);
+    if (m_table.recordSurvived(fingerprint) && m_newReportsHandler) {
+        m_newReportsHandler(m_table.reportsOf(fingerprint, now()), Origin::Own);
+    }
+}
+
 std::string SuspectSync::header(std::string_view fingerprint, Parts parts) const
 {
     const auto parsed = parseFingerprint(fingerprint);
--- a/src/suspect_sync.h
+++ b/src/suspect_sync.h
@@ -56,6 +56,8 @@
                      std::span<const PartInFlight> parts = {});
     /** Clears a fingerprint, if it is suspected, and the shared messages. */
     void complete(std::string_view fingerprint, Parts parts = {});
+    /** The backend server has outlived a call with these that was cancelled. */
+    void recordSurvived(const Fingerprint &fingerprint, Parts parts);
     void merge(const Reports &reports);
 
     /** Returns the reports about one fingerprint and these messages as a header value; empty if there are none. */
