Explain crashes by the part that is in most of them

Instructions in prompts crash each server, and each 4 s a caller asks twice with them about a new document.

Cause: each end of a server is explained by one part, and of parts that were never answered the one with fewer requests came first. A document with two ends for two requests so explained its ends away from the instructions, which had all of them.

Why this works: parts are compared by their requests for each end since the last answer, then by their number of ends; one with four series of ends comes before all with fewer, also if it was answered before. Requests that were not run do not count as sent. Parts that nothing tells apart are refused only together: a request that has one of them goes on and shows which it is.

Changed checks: sharedPartIsNotBlamedForTheOther and laterPartIsBlamedIfNothingElseTellsThemApart expected the later of two parts with the same ends to be refused alone. The place in the prompt is no evidence, and this refused sound requests on a document that was asked about twice. They expect now that requests with both parts are refused and those with one are not, and that one further end, or an answer, tells them apart, in either order.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -437,7 +437,9 @@
     recordFailure(now, failure.verdict, failure.fault, failure.reason);
     m_failedServer = std::exchange(m_server, std::nullopt);
     m_summary.reason = failure.reason;
-    if (failure.verdict != Verdict::NotRun) {
+    if (failure.verdict == Verdict::NotRun) {
+        m_context.parts.recordNotRun(m_request.parts);
+    } else {
         m_mayHaveRun = true;
     }
 }
--- a/src/part_suspect.cpp
+++ b/src/part_suspect.cpp
@@ -52,6 +52,13 @@
     }
 }
 
+void PartSuspects::recordNotRun(std::span<const Fingerprint> parts)
+{
+    for (const auto &it : parts) {
+        m_history.recordNotRun(it);
+    }
+}
+
 void PartSuspects::recordSound(std::span<const Fingerprint> parts, Age now)
 {
     for (const auto &it : parts) {
@@ -153,9 +160,10 @@
         return false;
     }
     const bool isFirst = !part.soundAt;
-    const bool wasAccused = accused().contains(fingerprint);
+    const bool wasAccused = isAccused(fingerprint);
     m_accused.reset();
     part.soundAt = soundAt;
+    part.sentElsewhere = 0;
     const auto voided = std::erase_if(part.crashes, [soundAt](const Crash &it) {
         return it.when <= soundAt;
     });
@@ -240,47 +248,88 @@
     return std::max(part.sentElsewhere, m_history.find(fingerprint).sent);
 }
 
-/**
- * Whether part @p a is the more likely cause of crashes. A part of many requests is in flight at any crash, so the one
- * that far fewer requests have comes first; of similar ones, that with more crashes, then the one later in the prompt.
- */
-bool PartSuspects::isMoreLikely(const Parts::value_type &a, const Parts::value_type &b) const
+PartSuspects::Rank PartSuspects::rankOf(const Parts::value_type &part) const
 {
-    const auto key = [this](const Parts::value_type &it) {
-        const auto &[fingerprint, part] = it;
-        const auto magnitude = std::bit_width(sentCount(fingerprint, part));
-        return std::tuple(part.soundAt.has_value(), magnitude, ~part.crashes.size(), ~part.position, fingerprint.low);
-    };
-    return key(a) < key(b);
+    const auto &[fingerprint, it] = part;
+    const auto ends = it.crashes.size();
+    const auto sent = sentCount(fingerprint, it);
+    Rank rank;
+    rank.isWeak = seriesCount(unexplained(it, {})) < m_settings.knownPartLimit
+                  || sent > m_settings.maxSentPerEndIfStrong * ends;
+    rank.wasAnswered = it.soundAt.has_value();
+    rank.sentMagnitude = std::bit_width(sent / std::max<std::uint32_t>(1, static_cast<std::uint32_t>(ends)));
+    rank.missingEnds = m_settings.maxCrashesPerPart - ends;
+    return rank;
+}
+
+bool PartSuspects::haveSameCrashes(const std::vector<const Crash *> &a, const std::vector<const Crash *> &b)
+{
+    return a.size() == b.size() && std::all_of(a.begin(), a.end(), [&b](const Crash *it) {
+               return std::any_of(b.begin(), b.end(), [it](const Crash *other) {
+                   return it->server == other->server && it->incarnation == other->incarnation;
+               });
+           });
 }
 
-/** Parts that explain crashes, each of which is explained by one part only. */
-const std::set<Fingerprint> &PartSuspects::accused() const
+/** Parts that explain crashes, each of which is explained once. */
+const std::vector<PartSuspects::AccusedParts> &PartSuspects::accused() const
 {
     if (m_accused) {
         return *m_accused;
     }
     m_accused.emplace();
-    std::vector<const Parts::value_type *> candidates;
+    std::vector<std::pair<Rank, const Parts::value_type *>> candidates;
     for (const auto &it : m_parts) {
         if (isOverLimit(it)) {
-            candidates.push_back(&it);
+            candidates.emplace_back(rankOf(it), &it);
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [this](const auto *a, const auto *b) {
-        return isMoreLikely(*a, *b);
+    std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.first, a.second->first) < std::pair(b.first, b.second->first);
     });
     std::vector<const Crash *> explained;
-    for (const auto *it : candidates) {
-        const auto crashes = unexplained(it->second, explained);
-        if (isCause(*it, crashes)) {
-            m_accused->insert(it->first);
-            explained.insert(explained.end(), crashes.begin(), crashes.end());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto &[rank, part] = candidates[i];
+        const auto crashes = unexplained(part->second, explained);
+        if (!isCause(*part, crashes)) {
+            continue;
+        }
+        AccusedParts parts{part->first};
+        for (auto k = i + 1; k < candidates.size() && candidates[k].first == rank; ++k) {
+            if (haveSameCrashes(crashes, unexplained(candidates[k].second->second, explained))) {
+                parts.push_back(candidates[k].second->first);
+            }
         }
+        m_accused->push_back(std::move(parts));
+        explained.insert(explained.end(), crashes.begin(), crashes.end());
     }
     return *m_accused;
 }
 
+bool PartSuspects::isAccused(const Fingerprint &fingerprint) const
+{
+    return std::any_of(accused().begin(), accused().end(), [&fingerprint](const AccusedParts &it) {
+        return std::find(it.begin(), it.end(), fingerprint) != it.end();
+    });
+}
+
+std::vector<Fingerprint> PartSuspects::accusedAmong(std::span<const Fingerprint> parts) const
+{
+    std::vector<Fingerprint> found;
+    if (m_parts.empty()) {
+        return found;
+    }
+    for (const auto &group : accused()) {
+        const bool hasAll = std::all_of(group.begin(), group.end(), [parts](const Fingerprint &it) {
+            return std::find(parts.begin(), parts.end(), it) != parts.end();
+        });
+        if (hasAll) {
+            found.push_back(group.front());
+        }
+    }
+    return found;
+}
+
 SuspectDecision PartSuspects::decidePart(const Part &part, Age now) const
 {
     const auto series = seriesCount(unexplained(part, {}));
@@ -301,10 +350,7 @@
 SuspectDecision PartSuspects::decide(std::span<const Fingerprint> parts, Age now) const
 {
     SuspectDecision strictest;
-    for (const auto &it : parts) {
-        if (m_parts.empty() || !accused().contains(it)) {
-            continue;
-        }
+    for (const auto &it : accusedAmong(parts)) {
         const auto decision = decidePart(m_parts.at(it), now);
         if (std::pair(decision.action, decision.retryAfter) > std::pair(strictest.action, strictest.retryAfter)) {
             strictest = decision;
@@ -317,10 +363,8 @@
 {
     const auto decision = decide(parts, now);
     if (decision.action == SuspectAction::RunAlone) {
-        for (const auto &it : parts) {
-            if (accused().contains(it)) {
-                m_parts.at(it).testedAt = now;
-            }
+        for (const auto &it : accusedAmong(parts)) {
+            m_parts.at(it).testedAt = now;
         }
     }
     return decision;
@@ -361,7 +405,7 @@
     }
     // A process that does not know the accused part could blame another one for its crashes.
     const auto key = [this](const Parts::iterator &it) {
-        return std::tuple(!accused().contains(it->first), it->second.sends, ~it->second.crashes.size());
+        return std::tuple(!isAccused(it->first), it->second.sends, ~it->second.crashes.size());
     };
     std::sort(order.begin(), order.end(), [&key](const auto &a, const auto &b) {
         return key(a) < key(b);
--- a/src/part_suspect.h
+++ b/src/part_suspect.h
@@ -3,11 +3,11 @@
 #include "part_suspect_type.h"
 #include "send_history.h"
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -21,8 +21,9 @@
  * Expected load: requests with a part that crashes each server, no two alike, at any gateway, among sound requests that
  * share their workspace and their other parts. When a server ends, each part of the requests that it left unanswered is
  * a candidate. A part is accused once servers have ended under it several times, no request with it has got on in
- * between, and no part that is more likely the cause explains those ends: one that was never answered, or that fewer
- * requests have. A part that sound requests share is answered again and again, so it is not accused.
+ * between, and no part that is more likely the cause explains those ends: one that is in far more of them, was never
+ * answered, or has more ends for its requests. A part that sound requests share is answered again and again, so it is not
+ * accused. Parts that nothing tells apart are accused together: only requests that have all of them are refused.
  */
 class PartSuspects
 {
@@ -33,6 +34,8 @@
     void recordCrash(std::span<const PartInFlight> parts, std::string_view server, std::uint64_t incarnation, Age when);
     /** Records that a request with these parts is sent to a server. */
     void recordSent(std::span<const Fingerprint> parts);
+    /** Records that such a request has not been run. */
+    void recordNotRun(std::span<const Fingerprint> parts);
     /** Records that a server got on with an answer to a request with these parts. */
     void recordSound(std::span<const Fingerprint> parts, Age now);
     /** Records that a server has outlived a request with these parts whose caller had left. */
@@ -94,9 +97,27 @@
     std::size_t limit(const Part &part) const;
     bool isCause(const Parts::value_type &part, const std::vector<const Crash *> &crashes) const;
     bool isOverLimit(const Parts::value_type &part) const;
-    bool isMoreLikely(const Parts::value_type &a, const Parts::value_type &b) const;
+    /** How likely a part is the cause of its ends; a smaller rank is more likely. */
+    struct Rank
+    {
+        bool isWeak = false; ///< Few ends, or many requests for each of them.
+        bool wasAnswered = false;
+        int sentMagnitude = 0; ///< Of the requests for each end.
+        std::size_t missingEnds = 0; ///< Of the most that a part can have.
+
+        auto operator<=>(const Rank &) const = default;
+    };
+
+    /** Parts of which one is the cause of the same ends; nothing tells which one. */
+    using AccusedParts = std::vector<Fingerprint>;
+
+    Rank rankOf(const Parts::value_type &part) const;
+    static bool haveSameCrashes(const std::vector<const Crash *> &a, const std::vector<const Crash *> &b);
     std::uint32_t sentCount(const Fingerprint &fingerprint, const Part &part) const;
-    const std::set<Fingerprint> &accused() const;
+    const std::vector<AccusedParts> &accused() const;
+    bool isAccused(const Fingerprint &fingerprint) const;
+    /** Of the accused parts that are all among @p parts, the first ones each. */
+    std::vector<Fingerprint> accusedAmong(std::span<const Fingerprint> parts) const;
     SuspectDecision decidePart(const Part &part, Age now) const;
     bool isForgotten(const Parts::value_type &entry, Age now) const;
     bool makeRoom(Age now);
@@ -109,7 +130,7 @@
     Parts m_parts;
     std::vector<Fingerprint> m_cleared; ///< For takeCleared(); bounded by the number of parts.
     bool m_hasNews = false;
-    mutable std::optional<std::set<Fingerprint>> m_accused; ///< Result of accused(); empty after changes.
+    mutable std::optional<std::vector<AccusedParts>> m_accused; ///< Result of accused(); empty after changes.
 };
 
 } // namespace turmericline
--- a/src/part_suspect_type.h
+++ b/src/part_suspect_type.h
@@ -33,7 +33,7 @@
 {
     Fingerprint part;
     std::uint32_t position = 0;
-    std::uint32_t sent = 0; ///< Requests with the part that one process has sent to servers; the most of any process.
+    std::uint32_t sent = 0; ///< Requests with the part sent since the last answer to one; the most of any process.
     std::optional<Age> soundAge; ///< Time since a server got on with an answer to a request with the part.
     std::vector<PartCrash> crashes; ///< Since then.
 };
@@ -50,6 +50,11 @@
      */
     std::size_t newPartEnds = 4;
     std::uint32_t maxSentPerEnd = 2;
+    /**
+     * A part with at least knownPartLimit series, and at most so many requests for each end, explains ends before any part
+     * with fewer: one cause of many ends is more likely than one for each two of them.
+     */
+    std::uint32_t maxSentPerEndIfStrong = 8;
     /**
      * Ends that follow the first one of a series by less may have one common cause, so they count once. This does not
      * hold for an end under a request that was sent after the first one.
--- a/src/send_history.cpp
+++ b/src/send_history.cpp
@@ -12,9 +12,19 @@
     ++use(id).sent;
 }
 
+void SendHistory::recordNotRun(const Fingerprint &id)
+{
+    if (m_index.contains(id)) {
+        auto &sent = use(id).sent;
+        sent -= sent > 0 ? 1 : 0;
+    }
+}
+
 void SendHistory::recordSound(const Fingerprint &id, Age now)
 {
-    use(id).soundAt = now;
+    auto &record = use(id);
+    record.soundAt = now;
+    record.sent = 0;
 }
 
 void SendHistory::setSurvived(const Fingerprint &id, std::uint32_t n)
--- a/src/send_history.h
+++ b/src/send_history.h
@@ -13,7 +13,7 @@
 /** What a process has seen of a request, or of requests with a part of prompts. */
 struct SendRecord
 {
-    std::uint32_t sent = 0; ///< Requests sent to servers.
+    std::uint32_t sent = 0; ///< Requests sent to servers since the last answer, but for those that were not run.
     std::uint32_t survived = 0; ///< Of those whose callers left: how many the servers have outlived, see their users.
     std::optional<Age> soundAt; ///< When a server last got on with an answer to one.
 };
@@ -25,6 +25,8 @@
     explicit SendHistory(std::size_t capacity);
 
     void recordSent(const Fingerprint &id);
+    /** A request that was counted as sent has not been run. */
+    void recordNotRun(const Fingerprint &id);
     void recordSound(const Fingerprint &id, Age now);
     void setSurvived(const Fingerprint &id, std::uint32_t n);
     /** Returns an empty record for a fingerprint that is not remembered. */
