Do not answer a stream that has begun with an error of the next server

Reported by other operators: a stream had begun and broke off, the next server answered with an error, and its text got into the stream. In the own fleet the entry took a complete answer with an error status for the end of the call, also if events had been sent to the caller. It replied on a response that had already begun, and the stream then never ended.

Evidence: nextServerAnswersWithAnError of holds.whole_answer (one server ends streams early, the others answer 503).

Such an answer is a failed attempt now, so the stream may be resumed at another server; of a keyed call, it ends the stream as incomplete.

--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -334,7 +334,9 @@
     if (verdict != Verdict::NotRun) {
         m_mayHaveReachedServer = true;
     }
-    const bool isAnswerComplete = !m_request.isStream || m_status != 200 || m_relay.state() == RelayState::Finished;
+    // Once a stream has begun, an answer with an error status is no end of it.
+    const bool hasEvents = m_request.isStream && (m_status == 200 || m_streamBegun);
+    const bool isAnswerComplete = !hasEvents || (m_status == 200 && m_relay.state() == RelayState::Finished);
     if (verdict == Verdict::Run && isAnswerComplete) {
         answer();
     } else {
@@ -444,6 +446,10 @@
         finishStream(true, Verdict::Run, {});
         return;
     }
+    if (m_streamBegun) {
+        finishStream(false, Verdict::MayHaveRun, "the stream was not resumed");
+        return;
+    }
     auto headers = m_headers;
     headers.emplace_back("X-Verdict", std::string(verdictName(Verdict::Run)));
     headers.emplace_back("X-Request-Id", m_request.id);
--- a/tests/holds_whole_answer_test.cpp
+++ b/tests/holds_whole_answer_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(agentIsFrozen);
     CPPUNIT_TEST(streamIsTruncated);
     CPPUNIT_TEST(noServerIsLeft);
+    CPPUNIT_TEST(nextServerAnswersWithAnError);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Fleet> m_fleet;
@@ -170,6 +171,32 @@
         }
     }
 
+    /** The error of the next server, with its own head and text, must not get into a stream that has begun. */
+    void nextServerAnswersWithAnError()
+    {
+        m_fleet->waitDone(
+            {m_fleet->call(fault("engine-1", {{"mode", "truncate"}, {"after_tokens", 7}, {"text", ""}}))});
+        for (const auto *it : {"engine-2", "engine-3"}) {
+            m_fleet->waitDone({m_fleet->call(fault(it, {{"mode", "reject"}, {"text", ""}}))});
+        }
+        std::size_t begun = 0;
+        for (std::size_t i = 0; begun == 0 && i < 200; ++i) {
+            const auto answer = m_fleet->stream(Fleet::entries()[i % 3], promptOf(i), answerTokens);
+            m_fleet->waitDone({answer});
+            if (!answer->body.starts_with("id: ")) {
+                continue; // Rejected by the first server.
+            }
+            ++begun;
+            CPPUNIT_ASSERT_MESSAGE(answer->error, answer->complete);
+            CPPUNIT_ASSERT_MESSAGE(answer->body, answer->body.find("HTTP/1.1") == std::string::npos);
+            const auto stream = parseStream(answer->body);
+            CPPUNIT_ASSERT_MESSAGE(answer->body, !stream.hasDone);
+            CPPUNIT_ASSERT_EQUAL(false, stream.verdict.at("complete").get<bool>());
+            CPPUNIT_ASSERT_MESSAGE(answer->body, answer->body.find("rejected by fault") == std::string::npos);
+        }
+        CPPUNIT_ASSERT(begun > 0);
+    }
+
 private:
     turmericline::HttpClientRequest fault(const std::string &process, const json &value) const
     {
