Reject odd input without losing what is sound

Reported by other operators: one odd entry among those of the servers, deeply nested, with a number too large or a port out of range, ended the processes that read the list, or had them stop following it.

Text nested 100,000 deep was rejected without harm before.

Messages are checked for a depth of 32 before they are decoded.

--- a/src/config_sync_codec.cpp
+++ b/src/config_sync_codec.cpp
@@ -1,5 +1,7 @@
 #include "config_sync_codec.h"
 
+#include "message_pack.h"
+
 #include <algorithm>
 
 namespace turmericline {
@@ -75,7 +77,7 @@
 
 json fromMessagePack(std::string_view bytes)
 {
-    auto value = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    auto value = decodeMessagePack(bytes);
     return value.is_discarded() ? json() : value;
 }
 
--- a/src/feed_relay_codec.cpp
+++ b/src/feed_relay_codec.cpp
@@ -1,5 +1,7 @@
 #include "feed_relay_codec.h"
 
+#include "message_pack.h"
+
 #include <nlohmann/json.hpp>
 
 namespace turmericline {
@@ -67,7 +69,7 @@
 Result<T> unpack(std::string_view bytes, T (*read)(const Json &))
 {
     try {
-        const auto json = Json::from_msgpack(bytes.begin(), bytes.end());
+        const auto json = decodeMessagePack(bytes);
         if (json.at("format").get<int>() != formatNumber) {
             return Result<T>::fail("unknown format number");
         }
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -1,6 +1,7 @@
 #include "gossip_codec.h"
 
 #include "address.h"
+#include "message_pack.h"
 #include "part_suspect_codec.h"
 #include "server_limit_codec.h"
 #include "suspect_codec.h"
@@ -117,7 +118,7 @@
 Result<GossipMessage> decodeGossip(std::string_view bytes)
 {
     try {
-        return decodeFields(Json::from_msgpack(bytes.begin(), bytes.end()));
+        return decodeFields(decodeMessagePack(bytes));
     } catch (const Json::exception &error) {
         return Result<GossipMessage>::fail(error.what());
     }
--- a/src/rank_codec.cpp
+++ b/src/rank_codec.cpp
@@ -1,5 +1,7 @@
 #include "rank_codec.h"
 
+#include "message_pack.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -123,7 +125,7 @@
 Result<T> unpack(std::string_view bytes, Read read)
 {
     try {
-        const auto json = Json::from_msgpack(bytes.begin(), bytes.end());
+        const auto json = decodeMessagePack(bytes);
         if (json.at("format").get<int>() != formatNumber) {
             return Result<T>::fail("unknown format number");
         }
--- a/src/rank_load.cpp
+++ b/src/rank_load.cpp
@@ -1,5 +1,7 @@
 #include "rank_load.h"
 
+#include "message_pack.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -61,7 +63,7 @@
 Result<GroupLoads> decodeGroupLoads(std::string_view bytes)
 {
     try {
-        const auto json = Json::from_msgpack(bytes.begin(), bytes.end());
+        const auto json = decodeMessagePack(bytes);
         if (json.at("format").get<int>() != formatNumber) {
             return Result<GroupLoads>::fail("unknown format number");
         }
--- a/src/server_limit_codec.cpp
+++ b/src/server_limit_codec.cpp
@@ -1,6 +1,7 @@
 #include "server_limit_codec.h"
 
 #include "address.h"
+#include "message_pack.h"
 
 #include <cmath>
 
@@ -52,7 +53,7 @@
 Result<Message> unpack(std::string_view bytes, Read read)
 {
     try {
-        const auto json = Json::from_msgpack(bytes.begin(), bytes.end());
+        const auto json = decodeMessagePack(bytes);
         if (json.at("format").get<int>() != formatNumber) {
             return Result<Message>::fail("unknown format number");
         }
