Do not take copies of earlier answers on kept connections for new ones

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which had run, or it ran at a second server.

Nothing that an answer without an id states is believed on a connection that is in use again, and bytes that come before the request was written end the connection.

Calls of agents have no ids. Orders to ranks, the only ones that must not be repeated or mistaken, get a new connection each. A read that gets an earlier answer is covered by the revisions, epochs and passes that it states.

--- a/src/backend_connection.cpp
+++ b/src/backend_connection.cpp
@@ -32,6 +32,8 @@
     m_handlers = std::make_shared<const BackendHandlers>(std::move(handlers));
     m_message = std::move(message);
     m_writtenBefore = m_writer.written();
+    ++m_requestCount;
+    m_isSent = false;
     m_isHeadAccepted = false;
     m_hasSkipped = false;
     m_isSkipping = false;
@@ -72,6 +74,7 @@
 
 void BackendConnection::send()
 {
+    m_isSent = true;
     const auto ec = m_writer.write(std::exchange(m_message, {}));
     if (ec) {
         fail(BackendFault::Unreachable, "request not sent: " + ec.message());
@@ -126,6 +129,11 @@
         close(); // Unexpected bytes that belong to no request.
         return;
     }
+    if (m_state == State::Busy && !m_isSent) {
+        // They were sent before the server could know of the request, so they are no answer to it.
+        fail(BackendFault::Unreachable, "bytes on an idle connection");
+        return;
+    }
     while (!bytes.empty() && (m_state == State::Busy || m_state == State::Detached)) {
         const auto n = m_decoder.feed(bytes);
         bytes.remove_prefix(n);
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -50,6 +50,12 @@
     /** Applies the connect, detach and idle timeouts. */
     void tick(TimePoint now);
 
+    /** Whether the request in progress is not the first one, so that bytes left from an earlier one may precede its answer. */
+    bool isReused() const
+    {
+        return m_requestCount > 1;
+    }
+
     /** Whether the connection is established and has no request in progress. */
     bool isIdle() const
     {
@@ -106,6 +112,8 @@
     State m_state = State::Connecting;
     TimePoint m_since{}; ///< Start of the current state.
     std::uint64_t m_writtenBefore = 0; ///< Bytes written by earlier requests.
+    std::uint64_t m_requestCount = 0;
+    bool m_isSent = false; ///< The current request has been handed to the socket, at least in part.
     std::chrono::milliseconds m_idleLimit{4'000};
     bool m_isReading = false;
     bool m_isPaused = false;
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -119,11 +119,15 @@
 
 HeadDisposition GatewayCall::onHead(HttpHead &head)
 {
-    const auto fields = m_dialect.readResponseFields(head);
+    auto fields = m_dialect.readResponseFields(head);
     const auto &expected = m_exchange.request().caller.requestId;
     if (!fields.requestId.empty() && fields.requestId != expected) {
         return HeadDisposition::Skip;
     }
+    if (fields.requestId.empty() && !expected.empty() && m_backend->isReused()) {
+        // It may be a copy of an answer to an earlier request, so nothing that it states is believed.
+        fields = {};
+    }
     if (fields.keepAlive) {
         m_backend->setIdleLimit(*fields.keepAlive);
     }
--- a/src/http_caller.cpp
+++ b/src/http_caller.cpp
@@ -30,7 +30,12 @@
                      std::chrono::milliseconds timeout,
                      Handler handler)
 {
-    start(now, address, "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n", timeout, std::move(handler));
+    start(now,
+          address,
+          "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n",
+          timeout,
+          std::move(handler),
+          Connection::Any);
 }
 
 void HttpCaller::post(TimePoint now,
@@ -39,24 +44,30 @@
                       const std::string &contentType,
                       const std::string &body,
                       std::chrono::milliseconds timeout,
-                      Handler handler)
+                      Handler handler,
+                      Connection connection)
 {
     start(now,
           address,
           "POST " + target + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: " + contentType
               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
           timeout,
-          std::move(handler));
+          std::move(handler),
+          connection);
 }
 
-void HttpCaller::start(
-    TimePoint now, const std::string &address, std::string message, std::chrono::milliseconds timeout, Handler handler)
+void HttpCaller::start(TimePoint now,
+                       const std::string &address,
+                       std::string message,
+                       std::chrono::milliseconds timeout,
+                       Handler handler,
+                       Connection connection)
 {
     auto call = std::make_shared<Call>();
     call->address = address;
     call->handler = std::move(handler);
     call->deadline = now + timeout;
-    call->connection = m_pool.take(now, address, address, false);
+    call->connection = m_pool.take(now, address, address, connection == Connection::New);
     if (!call->connection) {
         asio::post(m_io, [call] {
             end(*call, std::nullopt, "the address is malformed");
--- a/src/http_caller.h
+++ b/src/http_caller.h
@@ -22,6 +22,11 @@
     /** Called exactly once, never from within get() or post(). Without a reply, @p reason describes the error. */
     using Handler = std::function<void(std::optional<HttpReply> reply, std::string reason)>;
 
+    enum class Connection {
+        Any,
+        New, ///< For calls whose answers must not be mistaken: on a kept connection, a copy of an earlier one may follow.
+    };
+
     explicit HttpCaller(asio::io_context &io);
     ~HttpCaller();
     HttpCaller(const HttpCaller &) = delete;
@@ -38,7 +43,8 @@
               const std::string &contentType,
               const std::string &body,
               std::chrono::milliseconds timeout,
-              Handler handler);
+              Handler handler,
+              Connection connection = Connection::Any);
     /** Ends calls that have exceeded their timeout; must be called regularly. */
     void tick(TimePoint now);
 
@@ -57,7 +63,8 @@
                const std::string &address,
                std::string message,
                std::chrono::milliseconds timeout,
-               Handler handler);
+               Handler handler,
+               Connection connection);
     static void end(Call &call, std::optional<HttpReply> reply, std::string reason);
 
     asio::io_context &m_io;
--- a/src/rank_client.cpp
+++ b/src/rank_client.cpp
@@ -126,15 +126,17 @@
         }
         order.map = std::move(*map);
     }
-    m_caller.post(std::chrono::steady_clock::now(),
-                  m_address,
-                  m_dialect.orderTarget,
-                  "application/json",
-                  m_dialect.orderBody(order),
-                  callTimeout,
-                  [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
-                      handler(orderAnswer(reply));
-                  });
+    m_caller.post(
+        std::chrono::steady_clock::now(),
+        m_address,
+        m_dialect.orderTarget,
+        "application/json",
+        m_dialect.orderBody(order),
+        callTimeout,
+        [handler = std::move(handler)](const std::optional<HttpReply> &reply, const std::string &) {
+            handler(orderAnswer(reply));
+        },
+        HttpCaller::Connection::New);
 }
 
 } // namespace turmericline
