Resume streams only with answers of the same status

On the platform a later answer with an error status ends its attempt, and the stream to the caller is cut, without a regular end: unit.exchange, errorOfTheNextServerStaysOutOfAStream. One gap: any 2xx was taken, so the body of a 204 or 206 would have been read as events. The status must be that of the first answer now.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -291,7 +291,7 @@
         return actions;
     }
     if (m_isCommitted) {
-        if (!isSuccess(head.status)) {
+        if (head.status != m_head->status) {
             actions.emplace_back(StopAttempt{});
             retryOrGiveUp(now,
                           {Verdict::MayHaveRun,
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(serverThatAsksToWaitGetsNoRequests);
     CPPUNIT_TEST(callersAreToldWhenTheFirstServerWantsRequests);
     CPPUNIT_TEST(returnsAfterARefusalAreSpread);
+    CPPUNIT_TEST(errorOfTheNextServerStaysOutOfAStream);
     CPPUNIT_TEST_SUITE_END();
 
     ExchangeFixture m_fixture;
@@ -459,6 +460,33 @@
         it.now += 1s;
         CPPUNIT_ASSERT(!it.serversOf(50).contains("a"));
     }
+
+    /** The caller must see that its stream was cut, without the error of the next server in it or a regular end. */
+    void errorOfTheNextServerStaysOutOfAStream()
+    {
+        m_fixture.rule.kind = RouteKind::Stream;
+        m_fixture.rule.isResumable = true;
+        m_fixture.parts.recordSound(m_fixture.promptParts, suspectTime(m_fixture.now));
+        for (const int status : {500, 503, 404, 206, 204}) {
+            m_fixture.now += 60s;
+            auto exchange = m_fixture.make();
+            exchange.start(m_fixture.now);
+            exchange.onHead(m_fixture.now, ExchangeFixture::head(200), ExchangeFixture::signedFields());
+            CPPUNIT_ASSERT(ExchangeFixture::find<SendHead>(exchange.onBody(m_fixture.now, "id: 1\n\n")) != nullptr);
+            const auto next = exchange.onFailure(m_fixture.now, {Verdict::MayHaveRun, BackendFault::Broken, "reset"});
+            CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(next) != nullptr);
+            const auto fields = status == 503 ? ExchangeFixture::refusal() : ExchangeFixture::signedFields();
+            auto actions = exchange.onHead(m_fixture.now, ExchangeFixture::head(status), fields);
+            for (auto &&more : {exchange.onBody(m_fixture.now, "error"), exchange.onEnd(m_fixture.now)}) {
+                actions.insert(actions.end(), more.begin(), more.end());
+            }
+            CPPUNIT_ASSERT(ExchangeFixture::find<SendHead>(actions) == nullptr);
+            CPPUNIT_ASSERT(ExchangeFixture::find<SendBody>(actions) == nullptr);
+            CPPUNIT_ASSERT(ExchangeFixture::find<EndResponse>(actions) == nullptr);
+            CPPUNIT_ASSERT(ExchangeFixture::find<Reply>(actions) == nullptr);
+            CPPUNIT_ASSERT(ExchangeFixture::find<AbortResponse>(actions) != nullptr);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeTest);
