Do not refuse sound requests whose callers always leave beside a crashing one

No answer can clear such requests, and they are at each server at any time.

Cause: a crash was cleared after 16 attempts that servers had outlived, counted by each gateway alone; with many gateways each sees few of them. And a request was blamed for each crash that another one explains.

Change: six attempts clear a crash, and gateways begin to count at random, so that a fleet clears as many as one gateway would. A crash does not count against a request that was outlived if one that never was, and would be refused, was at that server. Cleared crashes are sent at once.

--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -30,9 +30,10 @@
 constexpr int statusNotFound = 404;
 const std::string messagePackType = "application/msgpack";
 
-SuspectSettings suspectSettings(std::chrono::milliseconds hold)
+SuspectSettings suspectSettings(std::chrono::milliseconds hold, std::uint64_t seed)
 {
     SuspectSettings settings;
+    settings.survivedSeed = seed;
     settings.hold = hold;
     // Gateways are often cut off from all servers of a failure domain, which is no evidence against a request.
     settings.domainLimit = settings.totalLimit;
@@ -83,7 +84,7 @@
                                  std::mt19937_64 &random)
     : m_io(io)
     , m_servers(servers)
-    , m_table(suspectSettings(settings.hold))
+    , m_table(suspectSettings(settings.hold, random()))
     , m_parts(partSettings(settings.hold), random())
     , m_caller(io)
 {
@@ -279,6 +280,9 @@
             logEvent(LogLevel::Info,
                      "a crash of a server is no longer put down to a request that servers have outlived",
                      {{"fingerprint", formatFingerprint(it.fingerprint)}});
+            if (m_gossip) {
+                m_gossip->onNewReports();
+            }
         }
     }
 }
--- a/src/send_history.h
+++ b/src/send_history.h
@@ -31,6 +31,11 @@
     void setSurvived(const Fingerprint &id, std::uint32_t n);
     /** Returns an empty record for a fingerprint that is not remembered. */
     SendRecord find(const Fingerprint &id) const;
+    bool contains(const Fingerprint &id) const
+    {
+        return m_index.contains(id);
+    }
+
     std::size_t size() const;
 
 private:
--- a/src/suspect.cpp
+++ b/src/suspect.cpp
@@ -101,7 +101,9 @@
 
 bool SuspectTable::recordSurvived(const Fingerprint &fingerprint)
 {
-    const auto n = m_history.find(fingerprint).survived;
+    const auto begin = XXH3_64bits_withSeed(&fingerprint, sizeof fingerprint, m_settings.survivedSeed);
+    const auto n = m_history.contains(fingerprint) ? m_history.find(fingerprint).survived
+                                                   : static_cast<std::uint32_t>(begin % m_settings.survivedPerCrash);
     m_history.setSurvived(fingerprint, std::min(n + 1, m_settings.maxSurvived));
     const auto it = m_suspects.find(fingerprint);
     return it != m_suspects.end() && clearSurvived(fingerprint, it->second);
@@ -221,6 +223,27 @@
     return kept;
 }
 
+/** Whether servers have outlived attempts with the fingerprint, here or at a process that has cleared a crash for it. */
+bool SuspectTable::isOutlived(const Fingerprint &fingerprint, const Crashes &crashes) const
+{
+    return m_history.contains(fingerprint) || std::any_of(crashes.begin(), crashes.end(), [](const Crash &it) {
+               return it.isCleared;
+           });
+}
+
+/** Whether a request that no server was seen to outlive, and that would be refused, was in flight at this crash. */
+bool SuspectTable::isExplained(const Crash &crash, Age now) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &suspect) {
+        const auto &[fingerprint, crashes] = suspect;
+        const bool hasCrash = std::any_of(crashes.begin(), crashes.end(), [&crash](const Crash &it) {
+            return it.server == crash.server && it.incarnation == crash.incarnation;
+        });
+        return crashes.size() >= m_settings.totalLimit && hasCrash && !isOutlived(fingerprint, crashes)
+               && activeCrashes(crashes, now).size() >= m_settings.totalLimit;
+    });
+}
+
 SuspectDecision SuspectTable::decide(const Fingerprint &fingerprint, Age now) const
 {
     const auto it = m_suspects.find(fingerprint);
@@ -234,6 +257,14 @@
     if (active.size() > 1 && m_settings.commonCauseTime > Age::zero()) {
         active = independentCrashes(std::move(active));
     }
+    if (active.size() >= m_settings.totalLimit && isOutlived(fingerprint, it->second)) {
+        std::erase_if(active, [&](const Crash *crash) {
+            return isExplained(*crash, now);
+        });
+    }
+    if (active.empty()) {
+        return {SuspectAction::RunAlone, {}};
+    }
     std::map<std::string_view, std::size_t> perDomain;
     std::size_t most = 0;
     for (const auto *crash : active) {
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -92,6 +92,8 @@
     std::vector<const Crash *> activeCrashes(const Crashes &crashes, Age now) const;
     std::vector<const Crash *> independentCrashes(std::vector<const Crash *> active) const;
     std::size_t otherEnds(std::span<const Crash *const> crashes) const;
+    bool isOutlived(const Fingerprint &fingerprint, const Crashes &crashes) const;
+    bool isExplained(const Crash &crash, Age now) const;
     void recordEnd(const Crash &crash);
     bool clearSurvived(const Fingerprint &fingerprint, Crashes &crashes);
     bool isReportable(const Crashes &crashes, Age now) const;
--- a/src/suspect_sync.cpp
+++ b/src/suspect_sync.cpp
@@ -21,6 +21,7 @@
 {
     SuspectSettings settings;
     settings.hold = hold;
+    settings.survivedSeed = std::random_device()();
     return settings;
 }
 
--- a/src/suspect_type.h
+++ b/src/suspect_type.h
@@ -77,8 +77,10 @@
      * A request whose caller leaves gets no answer that could clear it. Each time that servers have outlived so many
      * attempts with it, one of its crashes is cleared: one that crashes servers ends far more of them.
      */
-    std::uint32_t survivedPerCrash = 16;
-    std::uint32_t maxSurvived = 32; ///< Bound of those that count for crashes to come.
+    std::uint32_t survivedPerCrash = 6;
+    std::uint32_t maxSurvived = 18; ///< Bound of those that count for crashes to come.
+    /** Selects where a process begins to count. Many processes together then clear as many crashes as one would. */
+    std::uint64_t survivedSeed = 0;
     std::size_t maxHistory = 4'096; ///< Bound of the fingerprints whose outlived attempts are remembered.
     /**
      * Crashes of a fingerprint that follow each other by less count once if as many other servers ended in that time:
