--- a/tests/unit_odd_input_test.cpp
+++ b/tests/unit_odd_input_test.cpp
@@ -61,7 +61,7 @@
         for (const auto &[name, sound] : fields) {
             const auto &used = name == field ? value : sound;
             if (!used.empty()) {
-                text += (text.empty() ? "{\"" : ",\"") + name + "\":" + used;
+                text += fmt::format("{}\"{}\":{}", text.empty() ? "{" : ",", name, used);
             }
         }
         return text + "}";
@@ -251,7 +251,7 @@
               std::string(R"({"name":7})"),
               deepText(),
               std::string(R"({"name":"b","role":"entry","domain":"d","address":"127.0.0.1:1","state":7})")}) {
-            const auto list = parseInstances("[" + odd + "," + sound + "]");
+            const auto list = parseInstances(fmt::format("[{},{}]", odd, sound));
             CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 80), list && list.value->size() == 1);
         }
     }
