Have the test of resumed streams show the gap that it guards against

The next server sends a whole event now. With the old condition (any 2xx) the case fails, 25 of 26 pass: the event of a 204 or 206 gets into the stream. With the condition as it stands 26 of 26 pass. The comment of minProbedSilence is reworded; no other line of the sources changes.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -31,7 +31,7 @@
 /** If this many owners of limits have been asked for one request, it goes to servers without a limit only. */
 constexpr std::uint32_t maxPermitsAsked = 3;
 constexpr std::size_t maxLoggedDenials = 4;
-/** A server is probed if an attempt is stopped after a silence of this. After a shorter one it is as likely as not well. */
+/** A server is probed if an attempt is stopped after a silence of this; after a shorter one, it may only be busy. */
 constexpr std::chrono::milliseconds minProbedSilence{500};
 /** A server may notice the deadline of a request so much later than this gateway. */
 constexpr std::chrono::milliseconds deadlineSlack{500};
--- a/tests/unit_exchange_test.cpp
+++ b/tests/unit_exchange_test.cpp
@@ -477,7 +477,7 @@
             CPPUNIT_ASSERT(ExchangeFixture::find<StartAttempt>(next) != nullptr);
             const auto fields = status == 503 ? ExchangeFixture::refusal() : ExchangeFixture::signedFields();
             auto actions = exchange.onHead(m_fixture.now, ExchangeFixture::head(status), fields);
-            for (auto &&more : {exchange.onBody(m_fixture.now, "error"), exchange.onEnd(m_fixture.now)}) {
+            for (auto &&more : {exchange.onBody(m_fixture.now, "id: 2\n\n"), exchange.onEnd(m_fixture.now)}) {
                 actions.insert(actions.end(), more.begin(), more.end());
             }
             CPPUNIT_ASSERT(ExchangeFixture::find<SendHead>(actions) == nullptr);
