--- a/src/backend_registry.cpp
+++ b/src/backend_registry.cpp
@@ -26,11 +26,20 @@
 /** Limit of servers of which an ignored older state is logged once instead of each time. */
 constexpr std::size_t maxContradicted = 1'000;
 
+/** Whether the announcement differs by more than the time for which the server stays cold, which runs down. */
+bool isChanged(const BackendRecord &record, const BackendRecord &known)
+{
+    auto comparable = known;
+    comparable.coldLeft = record.coldLeft;
+    return record != comparable;
+}
+
 } // namespace
 
-BackendRegistry::BackendRegistry(const GatewayDialect &dialect, BackendTable &table)
+BackendRegistry::BackendRegistry(const GatewayDialect &dialect, BackendTable &table, AnnouncementHandler onAnnounced)
     : m_dialect(dialect)
     , m_table(table)
+    , m_onAnnounced(std::move(onAnnounced))
     , m_logBudget(singleLinesPerSecond, singleLineBurst)
     , m_countBudget(countLinesPerSecond, countLineBurst)
 {
@@ -183,7 +192,7 @@
 void BackendRegistry::use(TimePoint now, const std::string &key, BackendRecord record)
 {
     const auto *known = m_table.find(record.id);
-    const bool isChange = known == nullptr || known->record != record;
+    const bool isChange = known == nullptr || isChanged(record, known->record);
     if (isChange && !isLoggedSingly(now)) {
         ++(known == nullptr ? m_unlogged.announced : m_unlogged.changed);
     } else if (isChange) {
@@ -198,6 +207,9 @@
                   {"revision", m_position.revision}});
     }
     m_idOfKey[key] = record.id;
+    if (m_onAnnounced) {
+        m_onAnnounced(now, record);
+    }
     m_table.upsert(std::move(record));
 }
 
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -5,6 +5,7 @@
 #include "removed_servers.h"
 #include "store_feed.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -24,7 +25,10 @@
 class BackendRegistry
 {
 public:
-    BackendRegistry(const GatewayDialect &dialect, BackendTable &table);
+    /** Called with each valid announcement of a server that is in use. */
+    using AnnouncementHandler = std::function<void(TimePoint now, const BackendRecord &record)>;
+
+    BackendRegistry(const GatewayDialect &dialect, BackendTable &table, AnnouncementHandler onAnnounced = {});
 
     /**
      * Applies @p change and returns the number of known facts that it contradicts, which are kept. @p outage is the time
@@ -69,6 +73,7 @@
 
     const GatewayDialect &m_dialect;
     BackendTable &m_table;
+    AnnouncementHandler m_onAnnounced;
     std::map<std::string, std::string> m_idOfKey;
     std::map<std::string, TimePoint> m_delayedRemovals; ///< Due time by key.
     std::map<std::string, HeldAnnouncement> m_held; ///< By key.
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <utility>
 
 namespace turmericline {
@@ -81,6 +80,7 @@
         }
         slot->record = std::move(record);
         slot->isWithheld = false;
+        slot->isEvacuated = m_evacuated.contains(slot->record.domain);
         return;
     }
     if (slot) {
@@ -88,6 +88,7 @@
     }
     slot = std::make_shared<Backend>();
     slot->record = std::move(record);
+    slot->isEvacuated = m_evacuated.contains(slot->record.domain);
     m_services[slot->record.service].push_back(slot);
 }
 
@@ -108,6 +109,14 @@
     m_backends.erase(it);
 }
 
+void BackendTable::setEvacuated(std::set<std::string> domains)
+{
+    m_evacuated = std::move(domains);
+    for (const auto &[id, it] : m_backends) {
+        it->isEvacuated = m_evacuated.contains(it->record.domain);
+    }
+}
+
 const Backend *BackendTable::find(std::string_view id) const
 {
     const auto it = m_backends.find(id);
@@ -145,7 +154,7 @@
 
 bool BackendTable::isOpen(const Backend &backend)
 {
-    return !backend.record.isLeaving && !backend.record.isGroupBroken && !backend.isWithheld;
+    return !backend.record.isLeaving && !backend.record.isGroupBroken && !backend.isWithheld && !backend.isEvacuated;
 }
 
 double BackendTable::score(TimePoint now, const Backend &backend) const
@@ -209,7 +218,8 @@
                                                 std::string_view service,
                                                 std::span<const std::string> tried,
                                                 std::mt19937_64 &random,
-                                                std::optional<std::chrono::milliseconds> latencyTarget) const
+                                                std::optional<std::chrono::milliseconds> latencyTarget,
+                                                const std::set<std::string> *domains) const
 {
     const auto servers = m_services.find(service);
     if (servers == m_services.end()) {
@@ -221,7 +231,8 @@
     const bool skipsUnreported = areMostReported(now, servers->second);
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
-        if (wasTried || !isCandidate(now, *it, skipsUnreported, latencyTarget)) {
+        const bool isAllowed = domains == nullptr || domains->contains(it->record.domain);
+        if (wasTried || !isAllowed || !isCandidate(now, *it, skipsUnreported, latencyTarget)) {
             continue;
         }
         candidates.push_back(it.get());
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,6 +33,7 @@
     std::uint32_t rank = 0;
     std::uint64_t groupEpoch = 0; ///< Increases each time the group is formed again.
     std::int64_t startTimeMs = 0; ///< Unix time of the server's start; a new value is a new incarnation of the id.
+    std::optional<std::chrono::milliseconds> coldLeft; ///< How much longer it stays cold, on arrival; if it is stated.
 
     bool operator==(const BackendRecord &) const = default;
 };
@@ -67,6 +69,7 @@
     std::uint32_t failures = 0; ///< Consecutive failures.
     TimePoint pausedUntil{}; ///< The server gets no requests before this time.
     bool isWithheld = false; ///< Its last announcement is invalid, so it gets no requests until a valid one.
+    bool isEvacuated = false; ///< The operators have evacuated its failure domain.
     bool isDown = false; ///< The pause was caused by a fault rather than a lack of capacity.
     TimePoint waitsUntil{}; ///< The server wants no requests of this gateway before this time.
     TimePoint noPermitUntil{}; ///< The server has a limit, and there is no permit for this gateway before this time.
@@ -124,18 +127,22 @@
     /** Gives a server no requests until the next upsert(). */
     void withhold(std::string_view id);
     void remove(std::string_view id);
+    /** Gives the servers of @p domains no requests, and those of all others again. */
+    void setEvacuated(std::set<std::string> domains);
     const Backend *find(std::string_view id) const;
     std::vector<std::string> ids() const;
 
     /**
      * Chooses a server with a low load, excluding @p tried and paused ones; returns nothing if none is left.
      * @p latencyTarget: for the first part of the answer. Ranks where the request would wait too long for it are left out.
+     * @p domains: failure domains to choose from; null for all.
      */
     std::optional<BackendPick> choose(TimePoint now,
                                       std::string_view service,
                                       std::span<const std::string> tried,
                                       std::mt19937_64 &random,
-                                      std::optional<std::chrono::milliseconds> latencyTarget = std::nullopt) const;
+                                      std::optional<std::chrono::milliseconds> latencyTarget = std::nullopt,
+                                      const std::set<std::string> *domains = nullptr) const;
     /** Returns server @p id if choose() could choose it; nothing otherwise. */
     std::optional<BackendPick>
     pick(TimePoint now, std::string_view id, std::optional<std::chrono::milliseconds> latencyTarget) const;
@@ -189,6 +196,7 @@
     Backend *findRun(const ServerIncarnation &server);
 
     std::string m_domain;
+    std::set<std::string> m_evacuated; ///< Failure domains.
     std::map<std::string, double, std::less<>> m_servingMs; ///< By service: mean time for which a request has a slot.
     std::unordered_map<std::string, std::shared_ptr<Backend>, StringHash, std::equal_to<>> m_backends;
     std::map<std::string, std::vector<std::shared_ptr<Backend>>, std::less<>> m_services;
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -28,9 +28,6 @@
 constexpr std::chrono::milliseconds soundAnswerTime{100};
 /** Time to probe a server after an attempt has failed. */
 constexpr std::chrono::milliseconds probeWait{100};
-/** If this many owners of limits have been asked for one request, it goes to servers without a limit only. */
-constexpr std::uint32_t maxPermitsAsked = 3;
-constexpr std::size_t maxLoggedDenials = 4;
 /** A server is probed if an attempt is stopped after a silence of this; after a shorter one, it may only be busy. */
 constexpr std::chrono::milliseconds minProbedSilence{500};
 /** A server may notice the deadline of a request so much later than this gateway. */
@@ -183,80 +180,6 @@
     actions.emplace_back(std::move(next));
 }
 
-std::optional<BackendPick> Exchange::choose(TimePoint now)
-{
-    if (const auto server = std::exchange(m_preferredServer, std::nullopt)) {
-        if (auto pick = m_context.backends.pick(now, *server, m_request.rule->latencyTarget)) {
-            return pick;
-        }
-    }
-    return m_context.backends.choose(
-        now, m_request.service, m_excluded, m_context.random, m_request.rule->latencyTarget);
-}
-
-/** Chooses a server, and spends a permit if it has a limit. Returns nothing if there is none, or a permit is asked for. */
-std::optional<BackendPick> Exchange::chooseWithPermit(TimePoint now, ExchangeActions &actions)
-{
-    while (auto pick = choose(now)) {
-        const auto decision = m_context.limits.take(now, pick->server);
-        switch (decision.verdict) {
-        case PermitVerdict::Unlimited:
-        case PermitVerdict::Granted:
-            m_hasPermit = decision.verdict == PermitVerdict::Granted;
-            return pick;
-        case PermitVerdict::Denied:
-            m_context.backends.onNoPermit(pick->server, decision.until);
-            recordDenial(now, pick->server.id, decision.until);
-            m_excluded.push_back(pick->server.id);
-            break;
-        case PermitVerdict::Ask:
-            if (m_permitsAsked < maxPermitsAsked) {
-                ++m_permitsAsked;
-                m_awaitedServer = pick->server.id;
-                actions.emplace_back(AskPermit{pick->server.id});
-                return std::nullopt;
-            }
-            recordDenial(now, pick->server.id, now);
-            m_excluded.push_back(pick->server.id);
-            break;
-        }
-    }
-    return std::nullopt;
-}
-
-void Exchange::recordDenial(TimePoint now, const std::string &server, TimePoint until)
-{
-    auto basis = m_context.limits.basis(now, server);
-    if (basis && m_summary.limitDenials.size() < maxLoggedDenials) {
-        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(until - now);
-        m_summary.limitDenials.push_back({server, std::move(*basis), wait});
-    }
-}
-
-/** Whether a repeat can be sent without a permit; the failure of the server stands otherwise. */
-bool Exchange::hasUnlimitedServer(TimePoint now) const
-{
-    auto excluded = m_excluded;
-    while (true) {
-        const auto pick = m_context.backends.choose(
-            now, m_request.service, excluded, m_context.random, m_request.rule->latencyTarget);
-        if (!pick || !m_context.limits.isLimited(pick->server.id)) {
-            return pick.has_value();
-        }
-        excluded.push_back(pick->server.id);
-    }
-}
-
-ExchangeActions Exchange::onPermitAnswer(TimePoint now)
-{
-    ExchangeActions actions;
-    if (!m_isEnded && m_awaitedServer) {
-        m_preferredServer = std::exchange(m_awaitedServer, std::nullopt);
-        attempt(now, actions);
-    }
-    return actions;
-}
-
 ExchangeActions Exchange::onHead(TimePoint now, const HttpHead &head, const ResponseFields &fields)
 {
     ExchangeActions actions;
@@ -320,6 +243,9 @@
 void Exchange::applyStatements(TimePoint now, const ResponseFields &fields)
 {
     const bool isLeaving = fields.isLeaving && m_context.backends.onLeaving(*m_server);
+    if (fields.coldLeft) {
+        m_context.coldStart.onColdTime(now, *m_server, *fields.coldLeft);
+    }
     if (fields.retryAfter) {
         m_context.backends.onRetryAfter(now, *m_server, *fields.retryAfter);
     }
@@ -434,6 +360,9 @@
         m_context.limits.giveBack(now, m_server->id);
         m_context.backends.onPermitsChanged(m_server->id);
     }
+    if (failure.verdict == Verdict::NotRun && isUnreached) {
+        m_context.coldStart.giveBack(now, m_server->id);
+    }
     recordFailure(now, failure.verdict, failure.fault, failure.reason);
     m_failedServer = std::exchange(m_server, std::nullopt);
     m_summary.reason = failure.reason;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_table.h"
+#include "cold_start.h"
 #include "crash_detector.h"
 #include "event_splitter.h"
 #include "exchange_type.h"
@@ -23,6 +24,7 @@
     PartSuspects &parts;
     CrashDetector &crashes;
     ServerLimits &limits;
+    ColdStartLimits &coldStart;
     std::mt19937_64 &random;
 };
 
@@ -99,6 +101,8 @@
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
     std::optional<BackendPick> choose(TimePoint now);
+    std::optional<BackendPick> chooseOther(TimePoint now, std::span<const std::string> excluded) const;
+    bool takeColdStartSlot(TimePoint now, const ServerIncarnation &server, PermitVerdict permit);
     std::optional<BackendPick> chooseWithPermit(TimePoint now, ExchangeActions &actions);
     void recordDenial(TimePoint now, const std::string &server, TimePoint until);
     bool hasUnlimitedServer(TimePoint now) const;
--- a/src/exchange_type.h
+++ b/src/exchange_type.h
@@ -8,6 +8,8 @@
 #include "verdict_type.h"
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -33,6 +35,8 @@
     std::string workspace; ///< Empty if the request was admitted without an API key.
     std::uint32_t priority = 0;
     Fingerprint fingerprint; ///< The same for all copies of the request that the caller sends.
+    std::optional<std::set<std::string>>
+        allowedDomains; ///< Failure domains to which the request may go; all if not set.
     std::vector<Fingerprint> parts; ///< Of the parts of the prompt that other requests may share, in order.
     TimePoint arrived{};
     ServerBasis servers; ///< On arrival.
--- a/src/feed_relay_codec.cpp
+++ b/src/feed_relay_codec.cpp
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 /** Must be raised when the meaning of a message changes; messages with other numbers are rejected. */
-constexpr int formatNumber = 1;
+constexpr int formatNumber = 2;
 
 std::string pack(const Json &json)
 {
@@ -61,6 +61,7 @@
     report.outage = readMs(json, "outage_ms");
     report.configVersion = json.at("config").get<std::uint64_t>();
     report.configAge = readMs(json, "config_age_ms");
+    report.evacuated = json.at("evacuated").get<std::set<std::string>>();
     report.held = readMs(json, "held_ms");
     return report;
 }
@@ -112,6 +113,7 @@
                  {"outage_ms", report.outage.count()},
                  {"config", report.configVersion},
                  {"config_age_ms", report.configAge.count()},
+                 {"evacuated", report.evacuated},
                  {"held_ms", report.held.count()}});
 }
 
--- a/src/feed_relay_type.h
+++ b/src/feed_relay_type.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace turmericline {
 
@@ -34,6 +36,7 @@
     std::chrono::milliseconds outage{}; ///< Length of an outage of the store that has ended lately, or 0.
     std::uint64_t configVersion = 0; ///< Of the configuration in force.
     std::chrono::milliseconds configAge{}; ///< Since the store confirmed that this is the newest one.
+    std::set<std::string> evacuated; ///< Failure domains; as old as the configuration.
     std::chrono::milliseconds held{}; ///< Time between the arrival of the poll and the answer.
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "exchange_log.h"
 #include "feed_relay_codec.h"
 #include "gateway_feed.h"
 #include "log.h"
@@ -44,71 +45,6 @@
             retryAllowance(static_cast<double>(settings.retryAllowance), settings.retrySlack, gateways)};
 }
 
-nlohmann::json formatFingerprints(const std::vector<Fingerprint> &fingerprints)
-{
-    auto texts = nlohmann::json::array();
-    for (const auto &it : fingerprints) {
-        texts.push_back(formatFingerprint(it));
-    }
-    return texts;
-}
-
-/** Names the server of each failed attempt, so that attempts of all copies of a request can be counted from the logs. */
-void logFailedAttempts(const Exchange &exchange)
-{
-    const auto &request = exchange.request();
-    for (const auto &it : exchange.summary().failedAttempts) {
-        logEvent(LogLevel::Info,
-                 "attempt failed",
-                 {{"request", request.caller.requestId},
-                  {"fingerprint", formatFingerprint(request.fingerprint)},
-                  {"prompt_parts", formatFingerprints(request.parts)},
-                  {"server", it.server.id},
-                  {"server_start_ms", it.server.startTimeMs},
-                  {"verdict", verdictName(it.verdict)},
-                  {"fault", it.fault ? nameOf(backendFaultNames, *it.fault) : "none"},
-                  {"duration_ms", it.duration.count()},
-                  {"silence_ms", it.silence.count()},
-                  {"reason", it.reason}});
-    }
-}
-
-std::string_view statementText(const ServerStatement &statement)
-{
-    if (statement.isLeaving) {
-        return "server states that it leaves";
-    }
-    return statement.hasInvalidLimit ? "server states an invalid limit" : "server wants no requests for a time";
-}
-
-void logStatements(const Exchange &exchange)
-{
-    for (const auto &it : exchange.summary().statements) {
-        logEvent(LogLevel::Info,
-                 statementText(it),
-                 {{"request", exchange.request().caller.requestId},
-                  {"server", it.server.id},
-                  {"server_start_ms", it.server.startTimeMs},
-                  {"retry_after_ms", it.retryAfter ? it.retryAfter->count() : 0}});
-    }
-}
-
-void logLimitDenials(const Exchange &exchange)
-{
-    for (const auto &it : exchange.summary().limitDenials) {
-        logEvent(LogLevel::Info,
-                 "no permit for a server with a limit",
-                 {{"request", exchange.request().caller.requestId},
-                  {"server", it.server},
-                  {"limit_per_s", it.basis.limit},
-                  {"share_per_s", it.basis.share},
-                  {"age_ms", it.basis.age.count()},
-                  {"source", nameOf(limitSourceNames, it.basis.source)},
-                  {"owner", it.basis.owner},
-                  {"wait_ms", it.wait.count()}});
-    }
-}
-
 } // namespace
 
 Gateway::Gateway(asio::io_context &io, const GatewaySettings &settings, GatewayDialect dialect)
@@ -116,6 +52,7 @@
     , m_settings(settings)
     , m_dialect(std::move(dialect))
     , m_random(randomSeed())
+    , m_regions(parseRegions(settings.regions))
     , m_backends(settings.domain)
     , m_limits(io, m_dialect, m_backends, m_random())
     , m_suspects(io,
@@ -123,7 +60,7 @@
                  m_backends,
                  m_limits.table(),
                  m_random)
-    , m_registry(m_dialect, m_backends)
+    , m_servers(m_dialect, m_backends, m_random())
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort), m_random)
     , m_pool(io)
     , m_retryConfig(retryConfig(settings, 1))
@@ -163,7 +100,8 @@
                               {"requests_in_flight", m_calls.size()},
                               {"follows", m_feeds.followedGateway()},
                               {"suspects", m_suspects.status()},
-                              {"limits", m_limits.status()}};
+                              {"limits", m_limits.status()},
+                              {"evacuated_domains", m_servers.evacuatedDomains()}};
     };
     return handlers;
 }
@@ -199,6 +137,12 @@
     handlers.configVersion = [this] {
         return m_table ? m_table->config().version : 0;
     };
+    handlers.onEvacuated = [this](TimePoint now, const std::set<std::string> &domains) {
+        m_servers.setEvacuated(now, domains);
+    };
+    handlers.evacuated = [this]() -> const std::set<std::string> & {
+        return m_servers.evacuatedDomains();
+    };
     return handlers;
 }
 
@@ -263,6 +207,7 @@
     }
     auto &request = std::get<ExchangeRequest>(routed);
     request.servers = serverBasis();
+    request.allowedDomains = m_regions.allowedDomains(*request.rule, m_table->findWorkspace(request.caller.key));
     auto call = std::make_shared<GatewayCall>(std::move(request),
                                               ExchangeContext{m_backends,
                                                               m_retries,
@@ -271,6 +216,7 @@
                                                               m_suspects.parts(),
                                                               m_suspects.detector(),
                                                               m_limits.table(),
+                                                              m_servers.coldStart(),
                                                               m_random},
                                               m_dialect,
                                               m_pool,
@@ -309,26 +255,7 @@
     const auto &summary = call.exchange().summary();
     const auto total = std::chrono::steady_clock::now() - request.arrived;
     m_metrics.recordExchange(call.exchange(), total);
-    logFailedAttempts(call.exchange());
-    logStatements(call.exchange());
-    logLimitDenials(call.exchange());
-    logEvent(LogLevel::Info,
-             "request ended",
-             {{"request", request.caller.requestId},
-              {"fingerprint", formatFingerprint(request.fingerprint)},
-              {"route", request.rule->name},
-              {"workspace", request.workspace},
-              {"status", summary.status},
-              {"verdict", verdictName(summary.verdict)},
-              {"attempts", summary.attempts},
-              {"server", summary.server},
-              {"first_byte_ms", summary.firstByte ? summary.firstByte->count() : -1},
-              {"total_ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()},
-              {"config_version", request.table->config().version},
-              {"servers_era", request.servers.position.era.value_or(0)},
-              {"servers_revision", request.servers.position.revision},
-              {"servers_age_ms", request.servers.age ? request.servers.age->count() : -1},
-              {"reason", summary.reason}});
+    logExchange(call.exchange(), total);
     if (!summary.failedAttempts.empty()) {
         m_suspects.probeServers(std::chrono::steady_clock::now());
     }
@@ -343,7 +270,7 @@
 
 void Gateway::onServers(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
 {
-    const auto keptFacts = m_registry.apply(now, change, outage);
+    const auto keptFacts = m_servers.apply(now, change, outage);
     m_metrics.recordKeptFacts(keptFacts);
     if (change.replaced) {
         m_metrics.recordNewEra();
@@ -362,6 +289,7 @@
 
 void Gateway::onConfig(const StoreChange &change, std::chrono::milliseconds outage)
 {
+    m_servers.applyOperatorChange(std::chrono::steady_clock::now(), change);
     const auto activeVersion = m_table ? m_table->config().version : 0;
     auto config = newerConfig(m_dialect, change, activeVersion);
     if (change.replaced) {
@@ -376,6 +304,7 @@
              {{"version", config->version}, {"replaces", activeVersion}, {"routes", config->rules.size()}});
     m_metrics.setConfigVersion(config->version);
     m_table = std::make_shared<const RoutingTable>(std::move(*config));
+    m_servers.setConfig(m_table->config());
     for (const auto &caller : m_callers) {
         caller->setLimits(m_table->config().limits);
     }
@@ -408,9 +337,10 @@
     scheduleTick();
     const auto now = std::chrono::steady_clock::now();
     m_feeds.tick(now, m_suspects.nearGateways(now));
-    m_registry.tick(now);
     m_suspects.tick(now);
-    m_limits.tick(now, m_suspects.fleetView(now), m_table.get());
+    const auto fleet = m_suspects.fleetView(now);
+    m_servers.tick(now, fleet.gateways);
+    m_limits.tick(now, fleet, m_table.get());
     onGatewayCount(m_suspects.gatewayCount());
     m_rankLoads.tick(now);
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
@@ -516,6 +446,7 @@
     m_settings.grace = next.grace;
     m_settings.rotation = next.rotation;
     m_settings.maxConnections = next.maxConnections;
+    m_regions = parseRegions(next.regions);
     m_suspects.setSeeds(next.seeds);
     m_settings.retryWindow = next.retryWindow;
     m_settings.retryPercent = next.retryPercent;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,17 +1,18 @@
 #pragma once
 
 #include "backend_pool.h"
-#include "backend_registry.h"
 #include "caller_connection.h"
 #include "gateway_call.h"
 #include "gateway_feeds.h"
 #include "gateway_limits.h"
 #include "gateway_metrics.h"
 #include "gateway_route.h"
+#include "gateway_servers.h"
 #include "gateway_settings.h"
 #include "gateway_suspects.h"
 #include "ops_server.h"
 #include "rank_load_reader.h"
+#include "region_map.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -67,10 +68,11 @@
     GatewaySettings m_settings;
     GatewayDialect m_dialect;
     std::mt19937_64 m_random;
+    RegionMap m_regions;
     BackendTable m_backends;
     GatewayLimits m_limits;
     GatewaySuspects m_suspects;
-    BackendRegistry m_registry;
+    GatewayServers m_servers;
     RankLoadReader m_rankLoads;
     BackendPool m_pool;
     std::map<std::string, RetryWindow, std::less<>> m_retries;
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -48,6 +48,7 @@
     std::optional<double> requestLimit; ///< Requests a second that the server takes from all gateways together.
     std::string serverId; ///< Only in answers to health checks: the server that answers.
     bool hasInvalidLimit = false; ///< The server states a limit that is not a number of requests.
+    std::optional<std::chrono::milliseconds> coldLeft; ///< How much longer the server stays cold.
     std::optional<BackendLoad> load;
     std::optional<std::chrono::milliseconds> keepAlive; ///< Time after which the server closes an idle connection.
 };
@@ -78,6 +79,7 @@
 
     std::string readyPath; ///< Path of the readiness check that the platform's balancer uses.
     std::string configKey; ///< Key of the store item that contains the configuration.
+    std::string operatorPrefix; ///< Key prefix of all that the operators write: the configuration and the evacuations.
     std::string serverPrefix; ///< Key prefix of the store items with which backend servers announce themselves.
     /** @p allowsStale accepts a response that is seconds old, which costs less. */
     std::function<std::string(std::string_view prefix, std::string_view afterKey, bool allowsStale)> rangeTarget;
@@ -88,6 +90,8 @@
     std::function<Result<std::optional<StoreEra>>(const HttpHeaders &headers)> readEra;
     std::function<Result<RoutingConfig>(std::string_view text)> readConfig;
     std::function<Result<BackendRecord>(std::string_view key, std::string_view value)> readServer;
+    /** Failure domain that the item with this key evacuates; nothing if it is another item. */
+    std::function<std::optional<std::string>(std::string_view key)> readEvacuation;
 };
 
 /** Formats @p time as seconds with three decimals, for the Retry-After header field. */
--- a/src/gateway_feed.cpp
+++ b/src/gateway_feed.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-StoreFeedConfig configFeedConfig(std::string key)
+StoreFeedConfig configFeedConfig(std::string prefix)
 {
     StoreFeedConfig config;
-    config.prefix = std::move(key);
+    config.prefix = std::move(prefix);
     config.settleTime = configSettleTime;
     config.watchWait = configWatchWait;
     return config;
--- a/src/gateway_feed.h
+++ b/src/gateway_feed.h
@@ -14,8 +14,8 @@
 /** Long poll of the servers. */
 inline constexpr std::chrono::milliseconds serverWatchWait{8'000};
 
-/** Feed of the configuration, whose state must be confirmed often. */
-StoreFeedConfig configFeedConfig(std::string key);
+/** Feed of what the operators write: the configuration, whose state must be confirmed often, and the evacuations. */
+StoreFeedConfig configFeedConfig(std::string prefix);
 /** Feed of the announcements of backend servers. */
 StoreFeedConfig serverFeedConfig(std::string prefix);
 
--- a/src/gateway_feeds.cpp
+++ b/src/gateway_feeds.cpp
@@ -41,7 +41,7 @@
     , m_configReader(
           io,
           dialect,
-          configFeedConfig(dialect.configKey),
+          configFeedConfig(dialect.operatorPrefix),
           store,
           [this](TimePoint, const StoreChange &change, std::chrono::milliseconds outage) {
               m_handlers.onConfig(change, outage);
@@ -156,6 +156,9 @@
     const auto now = std::chrono::steady_clock::now();
     m_relayedServersAt = later(m_relayedServersAt, confirmedAt(polledAt, report.held, report.serversAge));
     onServers(now, std::move(report.servers), report.outage);
+    if (report.configVersion > 0) {
+        m_handlers.onEvacuated(now, report.evacuated);
+    }
     const auto version = m_handlers.configVersion();
     if (report.configVersion > version) {
         m_configReader.requestRead();
@@ -170,6 +173,7 @@
     facts.serversAge = ageOf(m_serverReader.feed().confirmedAt());
     facts.configAge = ageOf(m_configReader.feed().confirmedAt());
     facts.configVersion = m_handlers.configVersion();
+    facts.evacuated = m_handlers.evacuated();
     const bool isOutageRecent = std::chrono::steady_clock::now() - m_lastOutageEndedAt < outageNoticeTime;
     facts.outage = isOutageRecent ? m_lastOutage : 0ms;
     return facts;
--- a/src/gateway_feeds.h
+++ b/src/gateway_feeds.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
  * What a gateway knows of the store: the configuration and the announcements of servers, read by itself or by another
  * gateway of its failure domain. Passes on each state once, and none that is older than one passed on before.
  *
- * Another gateway is believed about the servers, and about how recently it has seen which version of the configuration.
+ * Another gateway is believed about the servers and the evacuated failure domains, and about how recently it has seen
+ * which version of the configuration.
  * The configuration itself, which holds the keys, is always read from the store.
  */
 class GatewayFeeds
@@ -27,10 +29,14 @@
 public:
     struct Handlers
     {
+        /** Called with all that the operators write: the configuration and the evacuations. */
         std::function<void(const StoreChange &change, std::chrono::milliseconds outage)> onConfig;
         std::function<void(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)> onServers;
         /** Returns the version of the configuration in force; 0 if there is none. */
         std::function<std::uint64_t()> configVersion;
+        /** Called with the evacuated failure domains as the gateway that is followed knows them. */
+        std::function<void(TimePoint now, const std::set<std::string> &domains)> onEvacuated;
+        std::function<const std::set<std::string> &()> evacuated;
     };
 
     GatewayFeeds(asio::io_context &io,
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "region_map.h"
 #include "settings.h"
 
 namespace turmericline {
@@ -26,9 +27,10 @@
     double retrySlack = 0;
     std::uint64_t maxConnections = 0;
     std::uint64_t agentPort = 0;
+    std::vector<std::string> regions;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 19> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 20> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
@@ -96,6 +98,14 @@
      false,
      0,
      65'535},
+    {"regions",
+     &GatewaySettings::regions,
+     "",
+     "DOMAIN:REGION of each failure domain, for routes and workspaces that are restricted to regions",
+     false,
+     0,
+     0,
+     checkRegion},
     {"max-connections", &GatewaySettings::maxConnections, "3000", "limit of caller connections", false, 8, 100'000},
 }};
 
--- a/src/routing_type.h
+++ b/src/routing_type.h
@@ -45,6 +45,7 @@
     std::uint32_t maxAttempts = 1; ///< Limit of backend servers that one request is sent to.
     bool allowsAnonymous = false;
     bool isResumable = false; ///< Another server can resume a stream after the last event received.
+    std::vector<std::string> allowedRegions; ///< Requests go to servers in these only; all regions if empty.
 
     bool isIdempotent() const
     {
@@ -67,6 +68,8 @@
     std::string name;
     std::uint32_t maxConnections = 64; ///< Connections that one backend server accepts in total.
     std::string healthPath; ///< Path of the servers' health check; empty if it is not known.
+    std::chrono::milliseconds coldStart{0}; ///< Time for which a server is cold after its start.
+    double coldRequestsPerSecond = 0; ///< Requests of all gateways that a cold server takes; 0 if none is ever cold.
     std::optional<ExpertLayout> experts; ///< Only set if the servers are ranks that share the experts of a model.
 };
 
@@ -84,6 +87,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    std::vector<std::string> allowedRegions; ///< As in RoutingRule; both lists apply.
 };
 
 /** One version of the gateways' configuration; always applied as a whole. */
--- a/tests/exchange_fixture.h
+++ b/tests/exchange_fixture.h
@@ -16,6 +16,7 @@
     turmericline::PartSuspects parts{turmericline::PartSuspectSettings{}};
     turmericline::CrashDetector crashes;
     turmericline::ServerLimits limits{3};
+    turmericline::ColdStartLimits coldStart{5};
     turmericline::RoutingRule rule;
     std::vector<turmericline::Fingerprint> promptParts; ///< Of the requests that make() returns.
 
@@ -45,7 +46,8 @@
         request.parts = promptParts;
         request.service = "s";
         request.arrived = now;
-        return {std::move(request), {backends, retries, retryConfig, suspects, parts, crashes, limits, random}};
+        return {std::move(request),
+                {backends, retries, retryConfig, suspects, parts, crashes, limits, coldStart, random}};
     }
 
     /** Records that servers x1 to x@p n, none of those in the table, have crashed under the request. */
