--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -64,6 +64,13 @@
 
 } // namespace
 
+bool ServerFilter::allows(const BackendRecord &record) const
+{
+    const bool isInGroup
+        = std::find(excludedGroups.begin(), excludedGroups.end(), record.group) != excludedGroups.end();
+    return !isInGroup && (domains == nullptr || domains->contains(record.domain));
+}
+
 BackendTable::BackendTable(std::string domain)
     : m_domain(std::move(domain))
 {
@@ -211,7 +218,7 @@
     if (!isCandidate(now, *backend, skipsUnreported, latencyTarget)) {
         return std::nullopt;
     }
-    return BackendPick{{record.id, record.startTimeMs, record.domain}, record.address};
+    return BackendPick{{record.id, record.startTimeMs, record.domain}, record.address, record.group};
 }
 
 std::optional<BackendPick> BackendTable::choose(TimePoint now,
@@ -219,7 +226,7 @@
                                                 std::span<const std::string> tried,
                                                 std::mt19937_64 &random,
                                                 std::optional<std::chrono::milliseconds> latencyTarget,
-                                                const std::set<std::string> *domains) const
+                                                const ServerFilter &filter) const
 {
     const auto servers = m_services.find(service);
     if (servers == m_services.end()) {
@@ -231,8 +238,7 @@
     const bool skipsUnreported = areMostReported(now, servers->second);
     for (const auto &it : servers->second) {
         const bool wasTried = std::find(tried.begin(), tried.end(), it->record.id) != tried.end();
-        const bool isAllowed = domains == nullptr || domains->contains(it->record.domain);
-        if (wasTried || !isAllowed || !isCandidate(now, *it, skipsUnreported, latencyTarget)) {
+        if (wasTried || !filter.allows(it->record) || !isCandidate(now, *it, skipsUnreported, latencyTarget)) {
             continue;
         }
         candidates.push_back(it.get());
@@ -244,7 +250,7 @@
     }
     const double arrivals = isFresh ? arrivalsPerServer * static_cast<double>(candidates.size()) : 0;
     const auto &best = candidates[chooseByWaterFilling(scores, arrivals, random)]->record;
-    return BackendPick{{best.id, best.startTimeMs, best.domain}, best.address};
+    return BackendPick{{best.id, best.startTimeMs, best.domain}, best.address, best.group};
 }
 
 bool BackendTable::isDown(TimePoint now, std::string_view service) const
@@ -334,6 +340,30 @@
     return {names.begin(), names.end()};
 }
 
+std::vector<GroupLoad> BackendTable::groupLoads(TimePoint now) const
+{
+    std::map<std::string_view, GroupLoad> loads;
+    std::map<std::string_view, std::size_t> reported;
+    for (const auto &[id, it] : m_backends) {
+        if (it->record.group.empty() || !isOpen(*it)) {
+            continue;
+        }
+        auto &group = loads[it->record.group];
+        group.group = it->record.group;
+        group.service = it->record.service;
+        ++group.ranks;
+        group.requests += load(now, *it);
+        reported[it->record.group] += isReported(now, *it) ? 1 : 0;
+    }
+    std::vector<GroupLoad> all;
+    for (auto &[name, it] : loads) {
+        if (reported[name] * 2 > it.ranks) {
+            all.push_back(std::move(it));
+        }
+    }
+    return all;
+}
+
 const BackendRecord *BackendTable::chooseNearRank(std::string_view group, std::mt19937_64 &random) const
 {
     std::vector<const BackendRecord *> near;
--- a/src/backend_table.h
+++ b/src/backend_table.h
@@ -102,10 +102,29 @@
     bool isForPermit = false; ///< It has a limit and waits for a permit, instead of having stated the time itself.
 };
 
+/** Load of the ranks of a group that take requests. */
+struct GroupLoad
+{
+    std::string group;
+    std::string service;
+    std::size_t ranks = 0;
+    double requests = 0; ///< Running and waiting requests of all gateways.
+};
+
+/** Servers that a request may go to. */
+struct ServerFilter
+{
+    const std::set<std::string> *domains = nullptr; ///< Failure domains; null for all.
+    std::span<const std::string> excludedGroups;
+
+    bool allows(const BackendRecord &record) const;
+};
+
 struct BackendPick
 {
     ServerIncarnation server;
     std::string address;
+    std::string group; ///< As in BackendRecord.
 };
 
 /**
@@ -135,14 +154,13 @@
     /**
      * Chooses a server with a low load, excluding @p tried and paused ones; returns nothing if none is left.
      * @p latencyTarget: for the first part of the answer. Ranks where the request would wait too long for it are left out.
-     * @p domains: failure domains to choose from; null for all.
      */
     std::optional<BackendPick> choose(TimePoint now,
                                       std::string_view service,
                                       std::span<const std::string> tried,
                                       std::mt19937_64 &random,
                                       std::optional<std::chrono::milliseconds> latencyTarget = std::nullopt,
-                                      const std::set<std::string> *domains = nullptr) const;
+                                      const ServerFilter &filter = {}) const;
     /** Returns server @p id if choose() could choose it; nothing otherwise. */
     std::optional<BackendPick>
     pick(TimePoint now, std::string_view id, std::optional<std::chrono::milliseconds> latencyTarget) const;
@@ -168,6 +186,8 @@
 
     /** Names of all groups of ranks. */
     std::vector<std::string> groups() const;
+    /** Loads of all groups of which most ranks are reported. */
+    std::vector<GroupLoad> groupLoads(TimePoint now) const;
     /** Chooses a random rank of a group, in the own failure domain if there is one; nothing if there is no rank. */
     const BackendRecord *chooseNearRank(std::string_view group, std::mt19937_64 &random) const;
     /** Called when the loads of a group are queried. The reply does not include requests sent after that. */
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -140,6 +140,11 @@
         refuseSuspect(now, decision, actions);
         return;
     }
+    if (!isAdmitted(now)) {
+        m_summary.reason = "the servers have no room for requests of this priority";
+        giveUp(now, actions);
+        return;
+    }
     const auto pick = chooseWithPermit(now, actions);
     if (m_awaitedServer) {
         return;
@@ -164,9 +169,11 @@
     m_attemptAt = now;
     m_lastProgressAt = now;
     m_firstEventAt.reset();
+    m_lastEventAt.reset();
     m_body.clear();
     m_excluded.push_back(pick->server.id);
     m_context.backends.onStart(pick->server.id);
+    m_context.admission.onSent(pick->group);
     ++m_summary.attempts;
     m_summary.server = pick->server.id;
     StartAttempt next{pick->server.id, pick->address, {}};
@@ -285,6 +292,7 @@
         }
         m_lastProgressAt = now;
         m_firstEventAt = m_firstEventAt.value_or(now);
+        onEvent(now);
         if (now - *m_firstEventAt >= soundAnswerTime) {
             recordSound(now);
         }
@@ -365,6 +373,7 @@
     }
     recordFailure(now, failure.verdict, failure.fault, failure.reason);
     m_failedServer = std::exchange(m_server, std::nullopt);
+    m_fullGroups.clear();
     m_summary.reason = failure.reason;
     if (failure.verdict == Verdict::NotRun) {
         m_context.parts.recordNotRun(m_request.parts);
@@ -481,7 +490,10 @@
     // back, so that those refused in a peak do not come back as the next one. An outage usually lasts longer than that.
     const auto busyDelay = std::min(std::max(minRetryAfter, m_request.rule->latencyTarget), longest);
     const auto shortest = backends.isDown(now, m_request.service) ? longest : busyDelay;
-    return between(shortest * 4 / 5, longest);
+    // Less urgent requests that were not admitted return later, so that the more urgent ones find room first.
+    const auto earliest
+        = shortest + std::chrono::round<std::chrono::milliseconds>((longest - shortest) * m_urgentShare / 2);
+    return between(earliest * 4 / 5, longest);
 }
 
 void Exchange::refuse(std::chrono::milliseconds retryAfter, ExchangeActions &actions)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "backend_table.h"
 #include "cold_start.h"
 #include "crash_detector.h"
@@ -25,6 +26,7 @@
     CrashDetector &crashes;
     ServerLimits &limits;
     ColdStartLimits &coldStart;
+    Admission &admission;
     std::mt19937_64 &random;
 };
 
@@ -79,6 +81,7 @@
         std::vector<FailedAttempt> failedAttempts;
         std::vector<ServerStatement> statements;
         std::vector<LimitDenial> limitDenials;
+        std::optional<AdmissionBasis> admission; ///< If the request was refused for the load of the servers.
         bool hasClearedSuspicion = false; ///< The request was suspected of crashing servers, and has completed.
     };
     const Summary &summary() const
@@ -100,6 +103,8 @@
     TimePoint effectiveDeadline() const;
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
+    bool isAdmitted(TimePoint now);
+    void onEvent(TimePoint now);
     std::optional<BackendPick> choose(TimePoint now);
     std::optional<BackendPick> chooseOther(TimePoint now, std::span<const std::string> excluded) const;
     bool takeColdStartSlot(TimePoint now, const ServerIncarnation &server, PermitVerdict permit);
@@ -134,6 +139,10 @@
     TimePoint m_attemptAt{};
     TimePoint m_lastProgressAt{}; ///< Start of the attempt, head of the answer, or last bytes; of a stream, last event.
     std::optional<TimePoint> m_firstEventAt; ///< Of the current attempt.
+    std::optional<TimePoint> m_lastEventAt; ///< Of the current attempt.
+    bool m_isAdmitted = false;
+    std::vector<std::string> m_fullGroups; ///< Groups that take no further request of this priority.
+    double m_urgentShare = 0; ///< Part of the demand that is more urgent, if the request is not admitted.
     bool m_isSound = false; ///< The server of the current attempt has got on with the answer.
     std::optional<ServerIncarnation> m_failedServer; ///< Server of the last failed attempt.
     std::optional<TimePoint> m_retryAt; ///< Waits until then for evidence that the server has ended.
--- a/src/exchange_choice.cpp
+++ b/src/exchange_choice.cpp
@@ -10,6 +10,37 @@
 
 } // namespace
 
+/** Asks the admission once for each request; one that was admitted, or may have run, is not refused for its load later. */
+bool Exchange::isAdmitted(TimePoint now)
+{
+    if (m_isAdmitted || m_isCommitted || m_mayHaveRun) {
+        return true;
+    }
+    const auto &caller = m_request.caller;
+    auto decision = m_context.admission.decide(now,
+                                               {m_request.service,
+                                                m_request.priority,
+                                                m_request.rule->gapTarget,
+                                                caller.promptTokens,
+                                                caller.answerTokens,
+                                                caller.maxAnswerTokens});
+    m_isAdmitted = decision.isAdmitted;
+    m_fullGroups = std::move(decision.fullGroups);
+    m_urgentShare = decision.urgentShare;
+    m_summary.admission = decision.basis;
+    return m_isAdmitted;
+}
+
+/** Reports the pause between two events, which tells how long the passes of the server's group take. */
+void Exchange::onEvent(TimePoint now)
+{
+    if (const auto last = std::exchange(m_lastEventAt, now)) {
+        if (const auto *server = m_context.backends.find(m_server->id); server != nullptr) {
+            m_context.admission.onPause(now, server->record.group, now - *last);
+        }
+    }
+}
+
 std::optional<BackendPick> Exchange::choose(TimePoint now)
 {
     if (const auto server = std::exchange(m_preferredServer, std::nullopt)) {
@@ -27,7 +58,7 @@
                                      excluded,
                                      m_context.random,
                                      m_request.rule->latencyTarget,
-                                     m_request.allowedDomains ? &*m_request.allowedDomains : nullptr);
+                                     {m_request.allowedDomains ? &*m_request.allowedDomains : nullptr, m_fullGroups});
 }
 
 /** Spends a slot of the server if it is cold. Without one, @p permit is returned and the server is left out. */
--- a/src/exchange_log.cpp
+++ b/src/exchange_log.cpp
@@ -82,6 +82,15 @@
     logFailedAttempts(exchange);
     logStatements(exchange);
     logLimitDenials(exchange);
+    if (const auto &admission = summary.admission) {
+        logEvent(LogLevel::Info,
+                 "request not admitted",
+                 {{"request", request.caller.requestId},
+                  {"priority", request.priority},
+                  {"load_per_rank", admission->load},
+                  {"limit_per_rank", admission->limit},
+                  {"pause_ms", admission->pause.count()}});
+    }
     logEvent(LogLevel::Info,
              "request ended",
              {{"request", request.caller.requestId},
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -64,6 +64,7 @@
     , m_rankLoads(io, m_backends, static_cast<std::uint16_t>(settings.agentPort), m_random)
     , m_pool(io)
     , m_retryConfig(retryConfig(settings, 1))
+    , m_admission(m_random())
     , m_feeds(io, m_dialect, settings.store, feedHandlers(), m_random)
     , m_acceptor(io, requireEndpoint(settings.listen))
     , m_timer(io)
@@ -92,6 +93,8 @@
     };
     handlers.metrics = [this] {
         m_metrics.setCounts(m_callers.size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
+        m_metrics.setAdmission(m_admission.counts());
+        m_metrics.setServers(m_servers.evacuatedDomains().size(), m_servers.coldStart());
         m_metrics.setPermits(m_limits.counts(), m_limits.table().limitedCount(), m_limits.table().ownedCount());
         return m_metrics.text();
     };
@@ -217,6 +220,7 @@
                                                               m_suspects.detector(),
                                                               m_limits.table(),
                                                               m_servers.coldStart(),
+                                                              m_admission,
                                                               m_random},
                                               m_dialect,
                                               m_pool,
@@ -305,6 +309,7 @@
     m_metrics.setConfigVersion(config->version);
     m_table = std::make_shared<const RoutingTable>(std::move(*config));
     m_servers.setConfig(m_table->config());
+    m_admission.setConfig(m_table->config());
     for (const auto &caller : m_callers) {
         caller->setLimits(m_table->config().limits);
     }
@@ -343,6 +348,7 @@
     m_limits.tick(now, fleet, m_table.get());
     onGatewayCount(m_suspects.gatewayCount());
     m_rankLoads.tick(now);
+    m_admission.setLoads(m_backends.groupLoads(now));
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls) {
         it->tick(now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -77,6 +77,7 @@
     BackendPool m_pool;
     std::map<std::string, RetryWindow, std::less<>> m_retries;
     RetryWindowConfig m_retryConfig;
+    Admission m_admission;
     std::shared_ptr<const RoutingTable> m_table;
     GatewayFeeds m_feeds;
     GatewayMetrics m_metrics;
--- a/src/gateway_dialect.h
+++ b/src/gateway_dialect.h
@@ -22,6 +22,9 @@
     std::string key; ///< API key; empty if the field is missing.
     std::optional<std::chrono::milliseconds> deadline; ///< Time from arrival for which the caller waits.
     std::optional<std::uint64_t> lastEventId; ///< Last event received, if the caller resumes a stream.
+    std::uint64_t promptTokens = 0; ///< 0 if not known.
+    std::optional<std::uint64_t> maxAnswerTokens;
+    std::optional<std::uint64_t> answerTokens; ///< The caller's estimate of the length of the answer.
     std::vector<std::uint64_t> sharedParts; ///< Ids of the parts of the prompt that other requests may share, in order.
 };
 
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -117,6 +117,27 @@
     m_gauges.Add({{"name", "permits_denied"}}).Set(static_cast<double>(counts.denied));
 }
 
+void GatewayMetrics::setAdmission(const std::array<AdmissionCounts, 10> &counts)
+{
+    for (std::size_t n = 0; n < counts.size(); ++n) {
+        if (counts[n].offered > 0) {
+            const auto priority = std::to_string(n);
+            m_gauges.Add({{"name", "requests_offered"}, {"priority", priority}})
+                .Set(static_cast<double>(counts[n].offered));
+            m_gauges.Add({{"name", "requests_not_admitted"}, {"priority", priority}})
+                .Set(static_cast<double>(counts[n].refused));
+        }
+    }
+}
+
+void GatewayMetrics::setServers(std::size_t evacuatedDomains, const ColdStartLimits &coldStart)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_gauges.Add({{"name", "evacuated_domains"}}).Set(static_cast<double>(evacuatedDomains));
+    m_gauges.Add({{"name", "cold_servers"}}).Set(static_cast<double>(coldStart.coldCount(now)));
+    m_gauges.Add({{"name", "cold_start_denials"}}).Set(static_cast<double>(coldStart.deniedCount()));
+}
+
 std::string GatewayMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/routing_type.h
+++ b/src/routing_type.h
@@ -40,6 +40,7 @@
     RouteKind kind = RouteKind::Unsafe;
     std::chrono::milliseconds timeout{60'000}; ///< From the arrival of the request to the end of the response.
     std::chrono::milliseconds latencyTarget{1'000}; ///< Until the response, or the first event of a stream.
+    std::optional<std::chrono::milliseconds> gapTarget; ///< Longest pause between events for a stream to be in time.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     std::vector<RoutingTarget> targets;
     std::uint32_t maxAttempts = 1; ///< Limit of backend servers that one request is sent to.
@@ -63,6 +64,19 @@
     std::uint32_t maxNewExpertsPerSwitch = 0;
 };
 
+/** How fast the engine of a backend server works on tokens. */
+struct EngineProfile
+{
+    double stepMs = 0; ///< Time of a step, in which each running request gets a token.
+    double requestMs = 0; ///< Added to that for each running request.
+    double promptTokensPerMs = 1; ///< Speed of reading prompts.
+    std::uint32_t slots = 1; ///< Requests that run at once.
+    double usualPromptTokens = 0;
+    double usualAnswerTokens = 0;
+
+    bool operator==(const EngineProfile &) const = default;
+};
+
 struct RoutingService
 {
     std::string name;
@@ -70,6 +84,7 @@
     std::string healthPath; ///< Path of the servers' health check; empty if it is not known.
     std::chrono::milliseconds coldStart{0}; ///< Time for which a server is cold after its start.
     double coldRequestsPerSecond = 0; ///< Requests of all gateways that a cold server takes; 0 if none is ever cold.
+    std::optional<EngineProfile> engine; ///< Only set for services with model engines.
     std::optional<ExpertLayout> experts; ///< Only set if the servers are ranks that share the experts of a model.
 };
 
--- a/tests/exchange_fixture.h
+++ b/tests/exchange_fixture.h
@@ -17,6 +17,7 @@
     turmericline::CrashDetector crashes;
     turmericline::ServerLimits limits{3};
     turmericline::ColdStartLimits coldStart{5};
+    turmericline::Admission admission{11};
     turmericline::RoutingRule rule;
     std::vector<turmericline::Fingerprint> promptParts; ///< Of the requests that make() returns.
 
@@ -47,7 +48,7 @@
         request.service = "s";
         request.arrived = now;
         return {std::move(request),
-                {backends, retries, retryConfig, suspects, parts, crashes, limits, coldStart, random}};
+                {backends, retries, retryConfig, suspects, parts, crashes, limits, coldStart, admission, random}};
     }
 
     /** Records that servers x1 to x@p n, none of those in the table, have crashed under the request. */
