--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -15,6 +15,13 @@
 constexpr std::chrono::milliseconds lingerTimeout{1'000};
 /** The connection is closed if a complete response cannot be written within this time. */
 constexpr std::chrono::milliseconds writeTimeout{10'000};
+/** Limit of received bytes that the kernel holds for a connection that is not read. */
+constexpr int receiveBufferBytes = 64 << 10;
+/** A request that is served is held by the gateway, and once more by the connection to its server. */
+constexpr std::size_t servedCopies = 2;
+constexpr int statusUnavailable = 503;
+/** Seconds after which a caller may come back whose request found no memory. */
+constexpr const char *shedRetryAfter = "1";
 
 } // namespace
 
@@ -24,11 +31,17 @@
     return text == nullptr ? "Unknown" : text;
 }
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, RoutingLimits limits, RequestHandler onRequest)
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
+                                   RoutingLimits limits,
+                                   MemoryBudget &budget,
+                                   RequestHandler onRequest,
+                                   ShortageHandler onShortage)
     : m_socket(std::move(socket))
     , m_writer(m_socket)
     , m_limits(limits)
     , m_onRequest(std::move(onRequest))
+    , m_onShortage(std::move(onShortage))
+    , m_reservation(budget)
     , m_decoder(HttpDecoder::Kind::Request)
 {
     applyLimits();
@@ -51,9 +64,12 @@
 {
     m_now = now;
     m_since = now;
+    m_lastProgressAt = now;
     asio::error_code ec;
     prepareSocket(m_socket, ec);
-    if (ec) {
+    asio::error_code ignored; // Without it, the kernel only holds more.
+    m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    if (ec || !reserve()) {
         close();
         return;
     }
@@ -86,10 +102,47 @@
     if (m_state == State::Lingering) {
         return;
     }
+    m_lastProgressAt = std::chrono::steady_clock::now();
     m_undecoded.append(bytes);
     if (m_state == State::Reading) {
         decode();
     }
+    reserve();
+}
+
+std::size_t CallerConnection::heldBytes() const
+{
+    return sizeof(*this) + m_undecoded.capacity() + m_decoder.heldBytes() + m_servedBytes + m_writer.pending();
+}
+
+bool CallerConnection::reserve()
+{
+    const auto state = m_state;
+    if (state == State::Closed || m_reservation.resize(heldBytes())) {
+        return state != State::Closed;
+    }
+    m_onShortage(heldBytes() - m_reservation.bytes());
+    if (m_state == state && !m_reservation.resize(heldBytes())) {
+        shed();
+    }
+    return m_state == state;
+}
+
+void CallerConnection::shed()
+{
+    if (m_state == State::Reading && m_decoder.hasStarted()) {
+        refuse(statusUnavailable, "no memory is left for the request");
+    } else if (m_state == State::Reading) {
+        linger();
+    } else if (m_state != State::Serving || m_undecoded.size() > maxPipelinedBytes) {
+        onDisconnect();
+    }
+}
+
+CallerUsage CallerConnection::usage() const
+{
+    const bool isServed = m_state != State::Reading;
+    return {isServed ? 0 : m_reservation.bytes(), m_lastProgressAt, isServed, isIdle()};
 }
 
 void CallerConnection::decode()
@@ -117,14 +170,21 @@
         refuse(413, "the body is too large");
         return;
     }
-    if (m_decoder.hasHead() && !m_decoder.isComplete() && m_decoder.head().header("Expect")) {
+    const bool needsContinue = m_decoder.hasHead() && !m_decoder.isComplete() && m_decoder.head().header("Expect");
+    if (needsContinue && !std::exchange(m_hasContinued, true)) {
         write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     if (!m_decoder.isComplete()) {
         return;
     }
+    m_servedBytes = (servedCopies - 1) * m_decoder.heldBytes();
+    if (!reserve()) {
+        return;
+    }
     m_state = State::Serving;
     m_isResponseEnded = false;
+    m_hasContinued = false;
+    m_servedBytes = servedCopies * m_decoder.heldBytes();
     auto head = std::move(m_decoder.head());
     auto body = m_decoder.takeBody();
     m_decoder.reset();
@@ -138,8 +198,11 @@
     m_state = State::Serving;
     m_isResponseEnded = false;
     m_closesAfterResponse = true;
-    m_undecoded.clear();
-    reply(status, {}, reason);
+    m_undecoded = {};
+    m_decoder.reset();
+    m_servedBytes = 0;
+    m_reservation.resize(heldBytes());
+    reply(status, status == statusUnavailable ? HttpHeaders{{"Retry-After", shedRetryAfter}} : HttpHeaders{}, reason);
 }
 
 void CallerConnection::tick(TimePoint now)
@@ -286,10 +349,12 @@
         return;
     }
     m_handlers = {};
+    m_servedBytes = 0;
     if (m_closesAfterResponse) {
         linger();
         return;
     }
+    m_reservation.resize(heldBytes());
     m_state = State::Reading;
     m_since = m_now;
     read();
@@ -307,7 +372,8 @@
     m_since = m_now;
     asio::error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    m_undecoded.clear();
+    m_undecoded = {};
+    m_reservation.resize(heldBytes());
     read();
 }
 
@@ -324,6 +390,9 @@
 {
     m_state = State::Closed;
     m_handlers = {};
+    m_undecoded = {};
+    m_decoder.reset();
+    m_reservation.reset();
     asio::error_code ec;
     m_socket.close(ec); // An error while closing cannot be handled.
 }
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "caller_shedding.h"
 #include "http_decoder.h"
+#include "memory_budget.h"
 #include "routing_type.h"
 #include "socket_writer.h"
 #include "time_type.h"
@@ -25,6 +27,9 @@
 /**
  * Server side of a caller's HTTP/1.1 connection. Requests are read completely and served one at a time, in order.
  * Reading continues while a request is served, so that a disconnect is detected at once.
+ *
+ * All that a connection holds is taken from a budget of the process. If that is used up, others are closed that hold more;
+ * if there are none, the request is refused.
  */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -32,7 +37,14 @@
     using RequestHandler
         = std::function<void(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body)>;
 
-    CallerConnection(asio::ip::tcp::socket socket, RoutingLimits limits, RequestHandler onRequest);
+    /** Called if the budget lacks @p bytes; closes connections, which may be the one that lacks them. */
+    using ShortageHandler = std::function<void(std::size_t bytes)>;
+
+    CallerConnection(asio::ip::tcp::socket socket,
+                     RoutingLimits limits,
+                     MemoryBudget &budget,
+                     RequestHandler onRequest,
+                     ShortageHandler onShortage);
 
     void start(TimePoint now);
     void tick(TimePoint now);
@@ -41,6 +53,8 @@
     /** Closes the connection after the current or next response; an idle one at once if @p closesIdle is set. */
     void drain(bool closesIdle);
     void close();
+    /** Refuses the request that is being received, or closes the idle connection, to free its memory. */
+    void shed();
 
     /** Sets the handlers that are called until the response ends. */
     void setHandlers(CallerHandlers handlers);
@@ -63,6 +77,8 @@
         return m_state == State::Closed;
     }
 
+    CallerUsage usage() const;
+
     /** Whether no request is being read or served. */
     bool isIdle() const
     {
@@ -87,17 +103,25 @@
     void linger();
     void onDisconnect();
     void applyLimits();
+    std::size_t heldBytes() const;
+    /** Takes what the connection holds from the budget. Returns false if it was refused or closed for lack of memory. */
+    bool reserve();
 
     asio::ip::tcp::socket m_socket;
     SocketWriter m_writer;
     RoutingLimits m_limits;
     RequestHandler m_onRequest;
+    ShortageHandler m_onShortage;
+    MemoryReservation m_reservation;
     HttpDecoder m_decoder;
     std::string m_undecoded; ///< Received bytes that have not been decoded yet.
     CallerHandlers m_handlers;
     State m_state = State::Reading;
     TimePoint m_now{}; ///< Time of the last tick or the last start of a request.
     TimePoint m_since{}; ///< Start of the current state, or of the request being read.
+    TimePoint m_lastProgressAt{}; ///< Last bytes of the caller.
+    std::size_t m_servedBytes = 0; ///< Memory of the request that is being served.
+    bool m_hasContinued = false; ///< The caller has been told to send the body of the current request.
     bool m_isReading = false;
     bool m_isWaitingWritable = false;
     bool m_isChunked = false;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -69,6 +69,7 @@
     , m_acceptor(io, requireEndpoint(settings.listen))
     , m_timer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+    , m_callers(settings.requestMemoryMb << 20U)
 {
     const auto handlers = opsHandlers();
     const auto ready = requireEndpoint(settings.ready);
@@ -92,7 +93,8 @@
         return isReady();
     };
     handlers.metrics = [this] {
-        m_metrics.setCounts(m_callers.size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
+        m_metrics.setCallerMemory(m_callers.budget(), m_callers.shedCount());
+        m_metrics.setCounts(m_callers.all().size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
         m_metrics.setAdmission(m_admission.counts());
         m_metrics.setServers(m_servers.evacuatedDomains().size(), m_servers.coldStart());
         m_metrics.setPermits(m_limits.counts(), m_limits.table().limitedCount(), m_limits.table().ownedCount());
@@ -177,24 +179,32 @@
             m_isAccepting = false;
             return;
         }
-        if (m_callers.size() < m_settings.maxConnections) {
-            const auto limits = m_table ? m_table->config().limits : RoutingLimits{};
-            auto connection = std::make_shared<CallerConnection>(
-                std::move(socket),
-                limits,
-                [this](const std::shared_ptr<CallerConnection> &caller, HttpHead head, std::string body) {
-                    onRequest(caller, std::move(head), std::move(body));
-                });
-            m_callers.push_back(connection);
-            if (m_drainingSince) {
-                connection->drain(false);
-            }
-            connection->start(std::chrono::steady_clock::now());
+        if (m_callers.makeRoom(m_settings.maxConnections)) {
+            addCaller(std::move(socket));
         }
         accept();
     });
 }
 
+void Gateway::addCaller(asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<CallerConnection>(
+        std::move(socket),
+        m_table ? m_table->config().limits : RoutingLimits{},
+        m_callers.budget(),
+        [this](const std::shared_ptr<CallerConnection> &caller, HttpHead head, std::string body) {
+            onRequest(caller, std::move(head), std::move(body));
+        },
+        [this](std::size_t bytes) {
+            m_callers.shed(std::chrono::steady_clock::now(), bytes);
+        });
+    m_callers.add(connection);
+    if (m_drainingSince) {
+        connection->drain(false);
+    }
+    connection->start(std::chrono::steady_clock::now());
+}
+
 void Gateway::onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -310,7 +320,7 @@
     m_table = std::make_shared<const RoutingTable>(std::move(*config));
     m_servers.setConfig(m_table->config());
     m_admission.setConfig(m_table->config());
-    for (const auto &caller : m_callers) {
+    for (const auto &caller : m_callers.all()) {
         caller->setLimits(m_table->config().limits);
     }
 }
@@ -358,12 +368,7 @@
         accept();
     }
     checkSettingsFile(now);
-    for (const auto &it : m_callers) {
-        it->tick(now);
-    }
-    std::erase_if(m_callers, [](const auto &it) {
-        return it->isClosed();
-    });
+    m_callers.tick(now);
     if (m_drainingSince) {
         advanceDrain(now);
     }
@@ -403,7 +408,7 @@
     m_feeds.stopRelay();
     m_limits.table().handOver(m_suspects.choosePeer(std::chrono::steady_clock::now()));
     m_drainingSince = std::chrono::steady_clock::now();
-    for (const auto &it : m_callers) {
+    for (const auto &it : m_callers.all()) {
         it->drain(false);
     }
 }
@@ -471,10 +476,10 @@
     if (age < m_settings.rotation) {
         return;
     }
-    for (const auto &it : m_callers) {
+    for (const auto &it : m_callers.all()) {
         it->drain(true);
     }
-    if ((m_callers.empty() && m_calls.empty()) || age > m_settings.grace - exitMargin) {
+    if ((m_callers.all().empty() && m_calls.empty()) || age > m_settings.grace - exitMargin) {
         logEvent(LogLevel::Info, "stopped", {{"requests_cut", m_calls.size()}});
         m_io.stop();
     }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "backend_pool.h"
-#include "caller_connection.h"
 #include "gateway_call.h"
+#include "gateway_callers.h"
 #include "gateway_feeds.h"
 #include "gateway_limits.h"
 #include "gateway_metrics.h"
@@ -20,7 +20,6 @@
 
 #include <filesystem>
 #include <functional>
-#include <list>
 #include <memory>
 #include <unordered_set>
 
@@ -44,6 +43,7 @@
 
 private:
     void accept();
+    void addCaller(asio::ip::tcp::socket socket);
     void tick();
     void scheduleTick();
     void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body);
@@ -84,7 +84,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
-    std::list<std::shared_ptr<CallerConnection>> m_callers;
+    GatewayCallers m_callers;
     std::unordered_set<std::shared_ptr<GatewayCall>> m_calls;
     std::unique_ptr<OpsServer> m_readyServer;
     std::unique_ptr<OpsServer> m_opsServer;
--- a/src/gateway_main.cpp
+++ b/src/gateway_main.cpp
@@ -2,6 +2,8 @@
 #include "gateway.h"
 #include "platform_dialect.h"
 
+#include <malloc.h>
+
 using namespace turmericline;
 
 namespace {
@@ -16,10 +18,14 @@
     }
 };
 
+/** Larger blocks get mappings of their own, which go back to the system when they are freed: the bodies of requests. */
+constexpr int mappingThresholdBytes = 128 << 10;
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    mallopt(M_MMAP_THRESHOLD, mappingThresholdBytes);
     return runDaemon<PlatformGateway>(
         "turmericline-gateway",
         gatewaySettingRows,
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -117,6 +117,12 @@
     m_gauges.Add({{"name", "permits_denied"}}).Set(static_cast<double>(counts.denied));
 }
 
+void GatewayMetrics::setCallerMemory(const MemoryBudget &budget, std::uint64_t shed)
+{
+    m_gauges.Add({{"name", "caller_memory_bytes"}}).Set(static_cast<double>(budget.used()));
+    m_gauges.Add({{"name", "callers_shed"}}).Set(static_cast<double>(shed));
+}
+
 void GatewayMetrics::setAdmission(const std::array<AdmissionCounts, 10> &counts)
 {
     for (std::size_t n = 0; n < counts.size(); ++n) {
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange.h"
+#include "memory_budget.h"
 #include "gateway_limits.h"
 
 #include <prometheus/counter.h>
@@ -31,6 +32,7 @@
     void setConfigVersion(std::uint64_t version);
     void setCounts(std::size_t callers, std::size_t inFlight, std::uint64_t storeCalls, std::uint64_t opened);
     /** @p limited: servers with a limit. @p owned: those for which this gateway grants the permits. */
+    void setCallerMemory(const MemoryBudget &budget, std::uint64_t shed);
     void setAdmission(const std::array<AdmissionCounts, 10> &counts);
     void setServers(std::size_t evacuatedDomains, const ColdStartLimits &coldStart);
     void setPermits(const PermitCounts &counts, std::size_t limited, std::size_t owned);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -28,9 +28,10 @@
     std::uint64_t maxConnections = 0;
     std::uint64_t agentPort = 0;
     std::vector<std::string> regions;
+    std::uint64_t requestMemoryMb = 0;
 };
 
-inline constexpr std::array<SettingRow<GatewaySettings>, 20> gatewaySettingRows{{
+inline constexpr std::array<SettingRow<GatewaySettings>, 21> gatewaySettingRows{{
     {"name", &GatewaySettings::name, "", "name of this instance", true, 0, 0, checkName},
     {"domain", &GatewaySettings::domain, "", "failure domain of this instance", true, 0, 0, checkName},
     {"listen", &GatewaySettings::listen, "", "IP:PORT for callers", true, 0, 0, checkAddress},
@@ -106,6 +107,13 @@
      0,
      0,
      checkRegion},
+    {"request-memory-mb",
+     &GatewaySettings::requestMemoryMb,
+     "64",
+     "memory for the requests of all callers together; callers that hold most are closed beyond it",
+     false,
+     8,
+     1'000'000},
     {"max-connections", &GatewaySettings::maxConnections, "3000", "limit of caller connections", false, 8, 100'000},
 }};
 
--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -121,7 +121,7 @@
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = {};
-    m_body.clear();
+    m_body = {};
     m_headBytes = 0;
     m_bodyBytes = 0;
     m_isInValue = false;
@@ -170,6 +170,12 @@
     m_isEndedByClose = m_isComplete;
 }
 
+std::size_t HttpDecoder::heldBytes() const
+{
+    const auto fieldBytes = m_head.headers.capacity() * sizeof(HttpHeaders::value_type);
+    return m_body.capacity() + m_head.target.capacity() + m_headBytes + fieldBytes;
+}
+
 std::string HttpDecoder::takeBody()
 {
     return std::exchange(m_body, {});
--- a/src/http_decoder.h
+++ b/src/http_decoder.h
@@ -105,6 +105,8 @@
 
     /** Returns the body bytes received since the last call. */
     std::string takeBody();
+    /** Memory that the current message takes; a header field takes more than its bytes. */
+    std::size_t heldBytes() const;
 
 private:
     struct Callbacks;
--- a/src/ops_server.cpp
+++ b/src/ops_server.cpp
@@ -10,6 +10,7 @@
     config.address = address;
     config.port = port;
     config.maxConnections = 64;
+    config.maxBodyBytes = 4U << 10U; // No call has a body.
     return config;
 }
 
--- a/src/routing_type.h
+++ b/src/routing_type.h
@@ -102,7 +102,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
-    std::vector<std::string> allowedRegions; ///< As in RoutingRule; both lists apply.
+    std::vector<std::string> allowedRegions = {}; ///< As in RoutingRule; both lists apply.
 };
 
 /** One version of the gateways' configuration; always applied as a whole. */
--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <stdexcept>
@@ -137,6 +138,12 @@
     return m_errors;
 }
 
+std::size_t ChildProcess::openFiles() const
+{
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(m_pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 std::uint64_t ChildProcess::memoryKiB(const std::string &field) const
 {
     std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -26,6 +26,8 @@
     const std::string &errors() const;
     /** Returns a size in KiB from /proc/PID/status, such as "VmRSS". */
     std::uint64_t memoryKiB(const std::string &field) const;
+    /** Returns the number of open descriptors. */
+    std::size_t openFiles() const;
 
 private:
     void read(asio::posix::stream_descriptor &pipe, std::string &text, std::vector<char> &buf);
