--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -42,22 +42,24 @@
 
 void Admission::setConfig(const RoutingConfig &config)
 {
-    std::map<std::string, std::set<std::uint32_t>> priorities;
+    std::map<std::string, std::map<std::uint32_t, std::chrono::milliseconds>> targets;
     for (const auto &rule : config.rules) {
         for (const auto &it : rule.targets) {
             if (rule.gapTarget) {
-                priorities[it.service].insert(rule.priority);
+                auto &target = targets[it.service].try_emplace(rule.priority, rule.latencyTarget).first->second;
+                target = std::min(target, rule.latencyTarget);
             }
         }
     }
     std::map<std::string, Service, std::less<>> services;
     for (const auto &it : config.services) {
-        if (it.engine && priorities[it.name].size() > 1) {
+        if (it.engine && targets[it.name].size() > 1) {
             auto &service = services[it.name];
             if (const auto known = m_services.find(it.name); known != m_services.end()) {
                 service = known->second;
             }
             service.engine = *it.engine;
+            service.latencyTargets = targets[it.name];
         }
     }
     m_services = std::move(services);
@@ -95,9 +97,16 @@
     }
 }
 
-bool Admission::isLimited(std::string_view service) const
+std::chrono::milliseconds
+Admission::latencyTarget(std::string_view service, std::uint32_t priority, std::chrono::milliseconds ownTarget) const
 {
-    return m_services.contains(service);
+    const auto found = m_services.find(service);
+    if (found != m_services.end()) {
+        for (const auto &[urgency, target] : found->second.latencyTargets) {
+            ownTarget = urgency < priority ? std::min(ownTarget, target) : ownTarget;
+        }
+    }
+    return ownTarget;
 }
 
 void Admission::record(TimePoint now, Service &service, const AdmissionRequest &request)
--- a/src/admission.h
+++ b/src/admission.h
@@ -78,7 +78,12 @@
     AdmissionDecision decide(TimePoint now, const AdmissionRequest &request);
     /** Called if an admitted request is sent to a rank of @p group. */
     void onSent(std::string_view group);
-    bool isLimited(std::string_view service) const;
+    /**
+     * Latency target that limits how long a request may wait at a rank: that of its route, or of a more urgent route of the
+     * service if that is shorter. Otherwise less urgent requests could wait where more urgent ones are refused.
+     */
+    std::chrono::milliseconds
+    latencyTarget(std::string_view service, std::uint32_t priority, std::chrono::milliseconds ownTarget) const;
 
     /** By priority; less urgent ones than the last count as that. */
     const std::array<AdmissionCounts, 10> &counts() const
@@ -90,6 +95,7 @@
     struct Service
     {
         EngineProfile engine;
+        std::map<std::uint32_t, std::chrono::milliseconds> latencyTargets; ///< Shortest of the routes, by priority.
         std::array<double, 10> demand{}; ///< By priority: requests, the older ones with less weight.
         double meanWorkMs = 0; ///< Of recent requests; 0 if not known.
         TimePoint decayedAt{};
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -104,6 +104,7 @@
     std::chrono::milliseconds silenceTimeout() const;
     void attempt(TimePoint now, ExchangeActions &actions);
     bool isAdmitted(TimePoint now);
+    std::chrono::milliseconds waitTarget() const;
     void onEvent(TimePoint now);
     std::optional<BackendPick> choose(TimePoint now);
     std::optional<BackendPick> chooseOther(TimePoint now, std::span<const std::string> excluded) const;
--- a/src/exchange_choice.cpp
+++ b/src/exchange_choice.cpp
@@ -31,6 +31,11 @@
     return m_isAdmitted;
 }
 
+std::chrono::milliseconds Exchange::waitTarget() const
+{
+    return m_context.admission.latencyTarget(m_request.service, m_request.priority, m_request.rule->latencyTarget);
+}
+
 /** Reports the pause between two events, which tells how long the passes of the server's group take. */
 void Exchange::onEvent(TimePoint now)
 {
@@ -44,7 +49,7 @@
 std::optional<BackendPick> Exchange::choose(TimePoint now)
 {
     if (const auto server = std::exchange(m_preferredServer, std::nullopt)) {
-        if (auto pick = m_context.backends.pick(now, *server, m_request.rule->latencyTarget)) {
+        if (auto pick = m_context.backends.pick(now, *server, waitTarget())) {
             return pick;
         }
     }
@@ -57,7 +62,7 @@
                                      m_request.service,
                                      excluded,
                                      m_context.random,
-                                     m_request.rule->latencyTarget,
+                                     waitTarget(),
                                      {m_request.allowedDomains ? &*m_request.allowedDomains : nullptr, m_fullGroups});
 }
 
