--- a/tests/body_crowd_fixture.h
+++ b/tests/body_crowd_fixture.h
@@ -19,7 +19,7 @@
 class BodyCrowd
 {
 public:
-    static constexpr std::size_t callerCount = 60;
+    static constexpr std::size_t callerCount = 120;
     static constexpr std::size_t maxBodyBytes = 1'000'000; ///< Limit of the configuration.
     static constexpr std::size_t memoryBoundMiB = 48;
     static constexpr std::size_t descriptorBound = 200;
