--- a/tests/body_crowd_fixture.h
+++ b/tests/body_crowd_fixture.h
@@ -8,7 +8,9 @@
 #include <fmt/format.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -75,6 +77,9 @@
     /** The process lives, within its bounds, and answers one ordinary request. */
     void expectSound()
     {
+        while (unreadBytes() > 0) {
+            m_io.poll();
+        }
         CPPUNIT_ASSERT_EQUAL(200, m_gateway->readiness());
         RawCaller caller(m_io, m_gateway->process().port());
         caller.send(headWithLength(4) + "body");
@@ -99,6 +104,29 @@
     }
 
 private:
+    /** Bytes that the kernel holds because the gateway has not read them yet. */
+    std::uint64_t unreadBytes()
+    {
+        const auto port = fmt::format(":{:04X}", std::stoi(m_gateway->process().port()));
+        std::ifstream file("/proc/net/tcp");
+        std::uint64_t bytes = 0;
+        std::string slot;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        for (std::string line; std::getline(file, line);) {
+            std::istringstream fields(line);
+            fields >> slot >> local >> remote >> state >> queues;
+            if (local.ends_with(port) && state == established) {
+                bytes += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+            }
+        }
+        return bytes;
+    }
+
+    static constexpr const char *established = "01"; ///< In /proc/net/tcp.
+
     asio::io_context m_io;
     turmericline::fakes::FakeStore m_store{m_io};
     turmericline::fakes::FakeReplica m_replica{m_io};
