--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -86,7 +86,10 @@
 void Admission::onPause(TimePoint now, std::string_view group, Seconds pause)
 {
     if (const auto it = m_groups.find(group); it != m_groups.end()) {
-        it->second.passTime.add(now, pause, it->second.requests / it->second.ranks);
+        auto &entry = it->second;
+        if (const auto service = m_services.find(entry.service); service != m_services.end()) {
+            entry.passTime.add(now, pause, entry.requests / entry.ranks, service->second.engine);
+        }
     }
 }
 
@@ -195,7 +198,8 @@
         }
         decision.fullGroups.push_back(name);
         if (!decision.basis || load - limit < decision.basis->load - decision.basis->limit) {
-            const auto pause = std::chrono::round<std::chrono::milliseconds>(group.passTime.usualMaximum());
+            const auto pause
+                = std::chrono::round<std::chrono::milliseconds>(group.passTime.slowest(now, load, service.engine));
             decision.basis = AdmissionBasis{load, limit, pause};
         }
     }
--- a/src/admission.h
+++ b/src/admission.h
@@ -34,7 +34,7 @@
 {
     double load = 0; ///< Requests per rank.
     double limit = 0; ///< Of this request's priority and size.
-    std::chrono::milliseconds pause{}; ///< That few pauses between events exceed at present.
+    std::chrono::milliseconds pause{}; ///< Between events, at that load and the slowest passes of the last seconds.
 };
 
 struct AdmissionDecision
--- a/src/pass_time.h
+++ b/src/pass_time.h
@@ -19,7 +19,7 @@
 {
 public:
     /** Adds a pause between two events, seen at @p load requests per rank. */
-    void add(TimePoint now, std::chrono::duration<double> pause, double load);
+    void add(TimePoint now, std::chrono::duration<double> pause, double load, const EngineProfile &engine);
 
     /** Whether there was a pause lately; the estimate tells nothing otherwise. */
     bool isRecent(TimePoint now) const;
@@ -28,23 +28,22 @@
     {
         return m_mean;
     }
-    /** Pause that few passes exceed: the mean and twice the mean deviation. */
-    std::chrono::duration<double> usualMaximum() const
-    {
-        return m_mean + 2 * m_deviation;
-    }
+    /** Pause to expect at @p load requests per rank when the group is as slow as at its slowest of the last seconds. */
+    std::chrono::duration<double> slowest(TimePoint now, double load, const EngineProfile &engine) const;
 
     /**
-     * Returns the number of requests per rank up to which few pauses exceed @p target; nothing without a recent estimate.
-     * Work that does not grow with the number of requests is taken from @p engine.
+     * Returns the number of requests per rank up to which pauses stay within @p target while the group is that slow; nothing
+     * without a recent estimate.
      */
     std::optional<double>
     loadLimit(TimePoint now, std::chrono::duration<double> target, const EngineProfile &engine) const;
 
 private:
+    double slowness(TimePoint now) const;
+
     std::chrono::duration<double> m_mean{};
-    std::chrono::duration<double> m_deviation{}; ///< Mean absolute difference from the mean.
-    double m_load = 0; ///< Mean load at the times of these pauses.
+    double m_slowness = 0; ///< Recent pause, in units of the time of a step at that load.
+    double m_peakSlowness = 0; ///< Highest one of the last seconds, as of m_lastAt.
     TimePoint m_lastAt{};
 };
 
--- a/tests/admission_simulation.h
+++ b/tests/admission_simulation.h
@@ -108,7 +108,10 @@
     static constexpr std::uint32_t slots = 10;
     static constexpr int stride = 5; ///< Tokens of an event, and steps of a pass.
     static constexpr double expertShare = 0.85; ///< Part of the work that the ranks share.
-    static constexpr double skew = 1.5; ///< Time of the most loaded rank for experts, of the mean.
+    static constexpr double shiftedSkew = 2; ///< While the map has not followed a shift of the demand.
+    static constexpr Time shiftPeriod{4'200};
+    static constexpr Time shiftTime{500};
+    static constexpr double skew = 1.25; ///< Time of the most loaded rank for experts, of the mean.
     static constexpr Time gapTarget{150};
     static constexpr Time tick{5};
     static constexpr Time loadPeriod{100};
@@ -294,7 +297,8 @@
             allMs += workMs;
         }
         const double meanMs = allMs / static_cast<double>(group.ranks.size());
-        const double passMs = (1 - expertShare) * mostMs + expertShare * meanMs * skew;
+        const bool isShifted = (m_now - start) % shiftPeriod < shiftTime;
+        const double passMs = (1 - expertShare) * mostMs + expertShare * meanMs * (isShifted ? shiftedSkew : skew);
         group.passEnd = m_now + std::chrono::ceil<Time>(std::chrono::duration<double, std::milli>(passMs));
     }
 
