--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "exchange.h"
-#include "memory_budget.h"
 #include "gateway_limits.h"
+#include "memory_budget.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/tests/admission_simulation.h
+++ b/tests/admission_simulation.h
@@ -211,10 +211,10 @@
             ++result.refused;
             return;
         }
-        send(std::move(it), decision.fullGroups);
+        send(it, decision.fullGroups);
     }
 
-    void send(Stream stream, const std::vector<std::string> &fullGroups)
+    void send(const Stream &stream, const std::vector<std::string> &fullGroups)
     {
         const auto isFull = [&](std::size_t group) {
             return std::find(fullGroups.begin(), fullGroups.end(), std::to_string(group)) != fullGroups.end();
@@ -231,7 +231,7 @@
         const auto rank = candidates[turmericline::chooseByWaterFilling(loads, arrivals, m_random)];
         const auto group = rank / m_scenario.ranks;
         m_gateways[stream.gateway].onSent(std::to_string(group));
-        m_groups[group].ranks[rank % m_scenario.ranks].waiting.push_back(std::move(stream));
+        m_groups[group].ranks[rank % m_scenario.ranks].waiting.push_back(stream);
     }
 
     void endPass(Group &group)
@@ -288,7 +288,7 @@
             double prompts = 0;
             while (rank.running.size() < slots && !rank.waiting.empty()) {
                 prompts += rank.waiting.front().prompt;
-                rank.running.push_back(std::move(rank.waiting.front()));
+                rank.running.push_back(rank.waiting.front());
                 rank.waiting.erase(rank.waiting.begin());
             }
             const double steps = stride * (stepMs + requestMs * static_cast<double>(rank.running.size()));
