Keep ordinary callers connected when large requests lack memory, and complete the accounting

Findings of a review: a large request closed idle connections though their part of the memory was free; unread output was not counted; a reservation could outlive its budget; a report of another gateway could undo a newer evacuation; servers announced before the configuration counted as warm; a slot of a cold server that was not taken could be given back; callers that read slowly changed the estimate of the passes.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -14,11 +14,11 @@
 constexpr Seconds demandHalfLife{5};
 /** Part of the limit that is kept free for more urgent requests if all of the demand is more urgent. */
 constexpr double urgentReserve = 0.3;
-/** The limit is never lower than this part of the slots: with free slots, a refusal gains nothing for the others. */
+/** Lower bound of the limit as a part of the slots, before the reserve: with free slots, a refusal gains little. */
 constexpr double minLimitShare = 0.6;
 /** The same with the reserve for more urgent requests. */
 constexpr double minReservedShare = 0.5;
-/** Nor higher: requests beyond the slots wait at the rank and slow down nobody, up to the wait that the table allows. */
+/** Upper bound of the limit: requests beyond the slots wait at the rank and slow down nobody, up to the wait that the table allows. */
 constexpr double maxLimitShare = 1.2;
 /** Around the limit, requests are admitted at random, since the gateways decide on loads of the same age. */
 constexpr double limitSpread = 0.05;
--- a/src/admission.h
+++ b/src/admission.h
@@ -61,7 +61,8 @@
  * that is more urgent, and within a priority the largest requests give way a little earlier, since they take the most room.
  *
  * The load limit of a group follows from its passes (PassTimeEstimate), which every gateway sees. No messages are
- * exchanged; without loads or pauses of a group there is no limit. Does no I/O and does not read the clock.
+ * exchanged; without loads of a group there is no limit for it, and without recent pauses it is that of the slots. Does no I/O
+ * and does not read the clock.
  */
 class Admission
 {
--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -20,7 +20,7 @@
 /** A request that is served is held by the gateway, and once more by the connection to its server. */
 constexpr std::size_t servedCopies = 2;
 constexpr int statusUnavailable = 503;
-/** Seconds after which a caller may come back whose request found no memory. */
+/** Retry-After, in seconds, of requests refused for lack of memory. */
 constexpr const char *shedRetryAfter = "1";
 
 } // namespace
@@ -33,7 +33,7 @@
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
                                    RoutingLimits limits,
-                                   MemoryBudget &budget,
+                                   std::shared_ptr<MemoryBudget> budget,
                                    RequestHandler onRequest,
                                    ShortageHandler onShortage)
     : m_socket(std::move(socket))
@@ -41,7 +41,7 @@
     , m_limits(limits)
     , m_onRequest(std::move(onRequest))
     , m_onShortage(std::move(onShortage))
-    , m_reservation(budget)
+    , m_reservation(std::move(budget))
     , m_decoder(HttpDecoder::Kind::Request)
 {
     applyLimits();
@@ -117,25 +117,30 @@
 
 bool CallerConnection::reserve()
 {
-    const auto state = m_state;
-    if (state == State::Closed || m_reservation.resize(heldBytes())) {
-        return state != State::Closed;
+    if (m_state != State::Reading) {
+        m_reservation.set(m_state == State::Closed ? 0 : heldBytes());
+        return m_state != State::Closed;
     }
-    m_onShortage(heldBytes() - m_reservation.bytes());
-    if (m_state == state && !m_reservation.resize(heldBytes())) {
+    const auto bytes = heldBytes();
+    if (m_reservation.resize(bytes)) {
+        return true;
+    }
+    m_onShortage(bytes - m_reservation.bytes(), bytes);
+    if (m_state == State::Reading && !m_reservation.resize(bytes)) {
         shed();
     }
-    return m_state == state;
+    return m_state == State::Reading;
 }
 
 void CallerConnection::shed()
 {
-    if (m_state == State::Reading && m_decoder.hasStarted()) {
+    if (m_state != State::Reading) {
+        return;
+    }
+    if (m_decoder.hasStarted()) {
         refuse(statusUnavailable, "no memory is left for the request");
-    } else if (m_state == State::Reading) {
+    } else {
         linger();
-    } else if (m_state != State::Serving || m_undecoded.size() > maxPipelinedBytes) {
-        onDisconnect();
     }
 }
 
@@ -201,7 +206,7 @@
     m_undecoded = {};
     m_decoder.reset();
     m_servedBytes = 0;
-    m_reservation.resize(heldBytes());
+    m_reservation.set(heldBytes());
     reply(status, status == statusUnavailable ? HttpHeaders{{"Retry-After", shedRetryAfter}} : HttpHeaders{}, reason);
 }
 
@@ -314,6 +319,7 @@
     }
     // Write errors need no handling here: the pending read reports that the socket has failed.
     m_writer.write(bytes);
+    m_reservation.set(heldBytes());
     waitWritable();
 }
 
@@ -354,7 +360,8 @@
         linger();
         return;
     }
-    m_reservation.resize(heldBytes());
+    m_reservation.set(heldBytes());
+    m_lastProgressAt = std::chrono::steady_clock::now();
     m_state = State::Reading;
     m_since = m_now;
     read();
@@ -373,7 +380,7 @@
     asio::error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     m_undecoded = {};
-    m_reservation.resize(heldBytes());
+    m_reservation.set(heldBytes());
     read();
 }
 
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -37,12 +37,15 @@
     using RequestHandler
         = std::function<void(const std::shared_ptr<CallerConnection> &connection, HttpHead head, std::string body)>;
 
-    /** Called if the budget lacks @p bytes; closes connections, which may be the one that lacks them. */
-    using ShortageHandler = std::function<void(std::size_t bytes)>;
+    /**
+     * Called if the budget lacks @p bytes for a connection that needs @p holderBytes in all; closes connections, which may be
+     * that one.
+     */
+    using ShortageHandler = std::function<void(std::size_t bytes, std::size_t holderBytes)>;
 
     CallerConnection(asio::ip::tcp::socket socket,
                      RoutingLimits limits,
-                     MemoryBudget &budget,
+                     std::shared_ptr<MemoryBudget> budget,
                      RequestHandler onRequest,
                      ShortageHandler onShortage);
 
@@ -119,7 +122,7 @@
     State m_state = State::Reading;
     TimePoint m_now{}; ///< Time of the last tick or the last start of a request.
     TimePoint m_since{}; ///< Start of the current state, or of the request being read.
-    TimePoint m_lastProgressAt{}; ///< Last bytes of the caller.
+    TimePoint m_lastProgressAt{}; ///< Last bytes of the caller, or end of the last response.
     std::size_t m_servedBytes = 0; ///< Memory of the request that is being served.
     bool m_hasContinued = false; ///< The caller has been told to send the body of the current request.
     bool m_isReading = false;
--- a/src/caller_shedding.cpp
+++ b/src/caller_shedding.cpp
@@ -9,11 +9,13 @@
 
 namespace turmericline {
 
-std::vector<std::size_t> chooseCallersToClose(TimePoint now, std::span<const CallerUsage> callers, std::size_t bytes)
+std::vector<std::size_t>
+chooseCallersToClose(TimePoint now, std::span<const CallerUsage> callers, std::size_t bytes, std::size_t holderBytes)
 {
+    const std::size_t atLeast = holderBytes > MemoryBudget::smallBytes ? MemoryBudget::smallBytes + 1 : 1;
     std::vector<std::size_t> order;
     for (std::size_t n = 0; n < callers.size(); ++n) {
-        if (!callers[n].isServed && callers[n].bytes > 0) {
+        if (!callers[n].isServed && callers[n].bytes >= atLeast) {
             order.push_back(n);
         }
     }
--- a/src/caller_shedding.h
+++ b/src/caller_shedding.h
@@ -22,11 +22,14 @@
  *
  * Expected load: a few hundred callers that send large requests and stop short of their end, beside ordinary callers with
  * requests of some kilobytes. Those that hold most, and of these the ones that have made no progress for longest, are closed
- * first. Requests that are complete are never chosen, and small ones only if nothing else is left.
+ * first. Requests that are complete are never chosen, and small ones only if a small one lacks memory and nothing else is
+ * left: large ones use their own part of the budget.
  *
+ * @param holderBytes what the connection that lacks memory needs in all
  * @return indexes into @p callers that hold at least @p bytes together, or all that may be closed
  */
-std::vector<std::size_t> chooseCallersToClose(TimePoint now, std::span<const CallerUsage> callers, std::size_t bytes);
+std::vector<std::size_t>
+chooseCallersToClose(TimePoint now, std::span<const CallerUsage> callers, std::size_t bytes, std::size_t holderBytes);
 
 /**
  * Chooses the connection to close when there are too many: the one that has been idle for longest, or if none is idle, the
--- a/src/cold_start.cpp
+++ b/src/cold_start.cpp
@@ -51,28 +51,35 @@
     return Seconds(static_cast<double>(m_gateways) / (service.requestsPerSecond * usedShare));
 }
 
-void ColdStartLimits::onAnnounced(TimePoint now, const BackendRecord &record)
+TimePoint ColdStartLimits::coldUntil(const Server &server) const
 {
-    auto &server = m_servers[record.id];
-    const bool isNewRun = server.service.empty() || server.startTimeMs != record.startTimeMs;
-    if (isNewRun) {
-        server = {record.startTimeMs, record.service, record.domain, {}, {}, {}};
-    }
     const auto *service = serviceOf(server);
     if (service == nullptr) {
-        return;
+        return {};
+    }
+    return server.isTimeStated ? server.coldUntil : std::max(server.coldUntil, server.firstSeenAt + service->coldStart);
+}
+
+void ColdStartLimits::onAnnounced(TimePoint now, const BackendRecord &record)
+{
+    auto &server = m_servers[record.id];
+    if (server.service.empty() || server.startTimeMs != record.startTimeMs) {
+        server = {};
+        server.startTimeMs = record.startTimeMs;
+        server.service = record.service;
+        server.domain = record.domain;
+        server.firstSeenAt = now;
     }
     if (record.coldLeft) {
+        server.isTimeStated = true;
         markCold(now, record.id, server, *record.coldLeft);
-    } else if (isNewRun) {
-        markCold(now, record.id, server, service->coldStart);
     }
 }
 
 void ColdStartLimits::onColdTime(TimePoint now, const ServerIncarnation &server, std::chrono::milliseconds left)
 {
     const auto it = m_servers.find(server.id);
-    if (it != m_servers.end() && it->second.startTimeMs == server.startTimeMs && serviceOf(it->second) != nullptr) {
+    if (it != m_servers.end() && it->second.startTimeMs == server.startTimeMs) {
         markCold(now, server.id, it->second, left);
     }
 }
@@ -94,9 +101,10 @@
     if (until <= now || until <= server.coldUntil) {
         return;
     }
-    if (server.coldUntil <= now) {
+    const auto *service = serviceOf(server);
+    if (server.coldUntil <= now && service != nullptr) {
         server.slotAt.reset();
-        m_changes.push_back({id, left, 1 / periodOf(*serviceOf(server)).count()});
+        m_changes.push_back({id, left, 1 / periodOf(*service).count()});
     }
     server.coldUntil = until;
 }
@@ -113,14 +121,11 @@
 ColdStartDecision ColdStartLimits::take(TimePoint now, const ServerIncarnation &server)
 {
     const auto found = m_servers.find(server.id);
-    if (found == m_servers.end() || found->second.coldUntil <= now) {
+    if (found == m_servers.end() || coldUntil(found->second) <= now) {
         return {};
     }
     auto &it = found->second;
     const auto *service = serviceOf(it);
-    if (service == nullptr) {
-        return {};
-    }
     const auto period = periodOf(*service);
     if (!it.slotAt) {
         // The gateways learn of a cold server at about the same time, so the first period begins at a random time.
@@ -132,15 +137,16 @@
     }
     if (now < *it.slotAt) {
         ++m_denied;
-        return {false, *it.slotAt};
+        return {false, false, *it.slotAt};
     }
     drawSlot(it.periodEnd, it, period);
-    return {};
+    return {true, true, {}};
 }
 
-void ColdStartLimits::giveBack(TimePoint now, const std::string &server)
+void ColdStartLimits::giveBack(TimePoint now, const ServerIncarnation &server)
 {
-    if (const auto it = m_servers.find(server); it != m_servers.end() && it->second.coldUntil > now) {
+    const auto it = m_servers.find(server.id);
+    if (it != m_servers.end() && it->second.startTimeMs == server.startTimeMs && coldUntil(it->second) > now) {
         it->second.slotAt = now;
     }
 }
@@ -148,13 +154,13 @@
 bool ColdStartLimits::isCold(TimePoint now, const std::string &server) const
 {
     const auto it = m_servers.find(server);
-    return it != m_servers.end() && it->second.coldUntil > now && serviceOf(it->second) != nullptr;
+    return it != m_servers.end() && coldUntil(it->second) > now;
 }
 
 std::size_t ColdStartLimits::coldCount(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [now, this](const auto &it) {
-        return it.second.coldUntil > now && serviceOf(it.second) != nullptr;
+        return coldUntil(it.second) > now;
     }));
 }
 
--- a/src/cold_start.h
+++ b/src/cold_start.h
@@ -17,10 +17,11 @@
 
 namespace turmericline {
 
-/** Whether a request may be sent to a server that may be cold. */
+/** Result of ColdStartLimits::take(). */
 struct ColdStartDecision
 {
     bool isAllowed = true;
+    bool hasSlot = false; ///< A slot has been spent, since the server is cold.
     TimePoint until{}; ///< If not allowed: start of the next slot.
 };
 
@@ -62,7 +63,7 @@
     /** Decides whether a request may be sent to the server now, and spends the slot if the server is cold. */
     ColdStartDecision take(TimePoint now, const ServerIncarnation &server);
     /** Returns the slot of a request that has not reached the server. */
-    void giveBack(TimePoint now, const std::string &server);
+    void giveBack(TimePoint now, const ServerIncarnation &server);
     bool isCold(TimePoint now, const std::string &server) const;
     std::size_t coldCount(TimePoint now) const;
     /** Number of requests that were not sent to a cold server for lack of a slot. */
@@ -87,18 +88,23 @@
         std::int64_t startTimeMs = 0; ///< As in BackendRecord.
         std::string service;
         std::string domain;
-        TimePoint coldUntil{};
+        TimePoint firstSeenAt{};
+        bool isTimeStated = false; ///< Its announcements tell how long it stays cold.
+        TimePoint coldUntil{}; ///< As stated, or after an evacuation.
         std::optional<TimePoint> slotAt; ///< Start of the next slot.
         TimePoint periodEnd{}; ///< End of the period of that slot.
     };
 
     const Service *serviceOf(const Server &server) const;
+    /** Returns the end of the time for which the server is cold; the epoch if its service has no rate for that. */
+    TimePoint coldUntil(const Server &server) const;
     void markCold(TimePoint now, const std::string &id, Server &server, std::chrono::milliseconds left);
     std::chrono::duration<double> periodOf(const Service &service) const;
     void drawSlot(TimePoint now, Server &server, std::chrono::duration<double> period);
 
     std::map<std::string, Service, std::less<>> m_services; ///< By name; only those whose servers can be cold.
-    std::map<std::string, Server, std::less<>> m_servers; ///< By id; only those of these services.
+    std::map<std::string, Server, std::less<>>
+        m_servers; ///< By id; all announced servers, since the configuration may come later.
     std::size_t m_gateways = 1;
     std::mt19937_64 m_random;
     std::uint64_t m_denied = 0;
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -156,7 +156,8 @@
             recordDenial(now, next->server, next->until);
         }
         if (m_summary.reason.empty()) {
-            m_summary.reason = isLimited ? "all servers are at their limits" : "no backend server can take the request";
+            m_summary.reason
+                = isLimited ? "all servers are cold or at their limits" : "no backend server can take the request";
         }
         giveUp(now, actions);
         return;
@@ -368,8 +369,9 @@
         m_context.limits.giveBack(now, m_server->id);
         m_context.backends.onPermitsChanged(m_server->id);
     }
-    if (failure.verdict == Verdict::NotRun && isUnreached) {
-        m_context.coldStart.giveBack(now, m_server->id);
+    if (std::exchange(m_hasColdSlot, false) && failure.verdict == Verdict::NotRun && isUnreached) {
+        m_context.coldStart.giveBack(now, *m_server);
+        m_context.backends.onPermitsChanged(m_server->id);
     }
     recordFailure(now, failure.verdict, failure.fault, failure.reason);
     m_failedServer = std::exchange(m_server, std::nullopt);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -58,6 +58,8 @@
     ExchangeActions onFailure(TimePoint now, const AttemptFailure &failure);
     ExchangeActions onTick(TimePoint now);
     ExchangeActions onCallerDisconnect(TimePoint now);
+    /** Called if the server is not read for a time, as its caller reads slowly. */
+    void onReadingPaused();
 
     const ExchangeRequest &request() const
     {
@@ -81,6 +83,7 @@
         std::vector<FailedAttempt> failedAttempts;
         std::vector<ServerStatement> statements;
         std::vector<LimitDenial> limitDenials;
+        std::uint32_t coldDenials = 0; ///< Cold servers that were left out for lack of a slot.
         std::optional<AdmissionBasis> admission; ///< If the request was refused for the load of the servers.
         bool hasClearedSuspicion = false; ///< The request was suspected of crashing servers, and has completed.
     };
@@ -132,6 +135,7 @@
     std::vector<std::string> m_excluded; ///< Servers that were tried, or whose limits have no room.
     std::optional<ServerIncarnation> m_server; ///< Server of the current attempt.
     std::string m_address; ///< Its address.
+    bool m_hasColdSlot = false; ///< The current attempt has spent a slot of a cold server.
     bool m_hasPermit = false; ///< The current attempt has spent a permit.
     std::optional<std::string> m_awaitedServer; ///< Server for which a permit has been asked for.
     std::optional<std::string> m_preferredServer; ///< The same, after the answer; chosen before others.
--- a/src/exchange_choice.cpp
+++ b/src/exchange_choice.cpp
@@ -46,6 +46,12 @@
     }
 }
 
+void Exchange::onReadingPaused()
+{
+    // The next pause would be that of the caller.
+    m_lastEventAt.reset();
+}
+
 std::optional<BackendPick> Exchange::choose(TimePoint now)
 {
     if (const auto server = std::exchange(m_preferredServer, std::nullopt)) {
@@ -70,9 +76,11 @@
 bool Exchange::takeColdStartSlot(TimePoint now, const ServerIncarnation &server, PermitVerdict permit)
 {
     const auto decision = m_context.coldStart.take(now, server);
+    m_hasColdSlot = decision.hasSlot;
     if (decision.isAllowed) {
         return true;
     }
+    ++m_summary.coldDenials;
     if (permit == PermitVerdict::Granted) {
         m_context.limits.giveBack(now, server.id);
     }
--- a/src/exchange_log.cpp
+++ b/src/exchange_log.cpp
@@ -100,6 +100,7 @@
               {"status", summary.status},
               {"verdict", verdictName(summary.verdict)},
               {"attempts", summary.attempts},
+              {"cold_servers_left_out", summary.coldDenials},
               {"server", summary.server},
               {"first_byte_ms", summary.firstByte ? summary.firstByte->count() : -1},
               {"total_ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()},
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -93,7 +93,7 @@
         return isReady();
     };
     handlers.metrics = [this] {
-        m_metrics.setCallerMemory(m_callers.budget(), m_callers.shedCount());
+        m_metrics.setCallerMemory(*m_callers.budget(), m_callers.shedCount());
         m_metrics.setCounts(m_callers.all().size(), m_calls.size(), m_feeds.callCount(), m_pool.openedCount());
         m_metrics.setAdmission(m_admission.counts());
         m_metrics.setServers(m_servers.evacuatedDomains().size(), m_servers.coldStart());
@@ -195,8 +195,8 @@
         [this](const std::shared_ptr<CallerConnection> &caller, HttpHead head, std::string body) {
             onRequest(caller, std::move(head), std::move(body));
         },
-        [this](std::size_t bytes) {
-            m_callers.shed(std::chrono::steady_clock::now(), bytes);
+        [this](std::size_t bytes, std::size_t holderBytes) {
+            m_callers.shed(std::chrono::steady_clock::now(), bytes, holderBytes);
         });
     m_callers.add(connection);
     if (m_drainingSince) {
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -171,6 +171,7 @@
     m_caller->sendBody(action.bytes);
     if (m_backend && m_caller->pendingBytes() > maxPendingBytes) {
         m_backend->pauseReading();
+        m_exchange.onReadingPaused();
     }
 }
 
--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-/** Part of the memory that is freed at a time, so that a crowd does not have the connections sorted at each read. */
+/** Part of the memory that is freed at a time, to limit how often the connections are sorted. */
 constexpr std::size_t shedDivisor = 16;
+/** For the same reason: time after an attempt that found nothing to close. */
+constexpr std::chrono::milliseconds shedPause{10};
 constexpr double shedLinesPerSecond = 1;
 constexpr double shedLineBurst = 4;
 
 } // namespace
 
 GatewayCallers::GatewayCallers(std::size_t memoryBytes)
-    : m_budget(memoryBytes)
+    : m_budget(std::make_shared<MemoryBudget>(memoryBytes))
     , m_logBudget(shedLinesPerSecond, shedLineBurst)
 {
 }
@@ -52,11 +54,18 @@
     return m_connections.size() < maxConnections;
 }
 
-void GatewayCallers::shed(TimePoint now, std::size_t bytes)
+void GatewayCallers::shed(TimePoint now, std::size_t bytes, std::size_t holderBytes)
 {
-    // Copied, since a refusal may end requests, whose handlers may change the list.
+    if (now < m_nextShedAt) {
+        return;
+    }
+    // Copied for access by index.
     const std::vector<std::shared_ptr<CallerConnection>> connections(m_connections.begin(), m_connections.end());
-    const auto chosen = chooseCallersToClose(now, usages(), std::max(bytes, m_budget.limit() / shedDivisor));
+    const auto chosen
+        = chooseCallersToClose(now, usages(), std::max(bytes, m_budget->limit() / shedDivisor), holderBytes);
+    if (chosen.empty()) {
+        m_nextShedAt = now + shedPause;
+    }
     for (const auto n : chosen) {
         connections[n]->shed();
     }
@@ -73,8 +82,8 @@
                  {{"reason", reason},
                   {"closed", std::exchange(m_unloggedShed, 0)},
                   {"connections", m_connections.size()},
-                  {"held_bytes", m_budget.used()},
-                  {"limit_bytes", m_budget.limit()}});
+                  {"held_bytes", m_budget->used()},
+                  {"limit_bytes", m_budget->limit()}});
     }
 }
 
--- a/src/gateway_feeds.cpp
+++ b/src/gateway_feeds.cpp
@@ -156,7 +156,10 @@
     const auto now = std::chrono::steady_clock::now();
     m_relayedServersAt = later(m_relayedServersAt, confirmedAt(polledAt, report.held, report.serversAge));
     onServers(now, std::move(report.servers), report.outage);
-    if (report.configVersion > 0) {
+    const auto readAt = confirmedAt(polledAt, report.held, report.configAge);
+    const auto knownAt = later(m_configReader.feed().confirmedAt(), m_relayedEvacuatedAt);
+    if (report.configVersion > 0 && (!knownAt || readAt >= *knownAt)) {
+        m_relayedEvacuatedAt = readAt;
         m_handlers.onEvacuated(now, report.evacuated);
     }
     const auto version = m_handlers.configVersion();
--- a/src/gateway_feeds.h
+++ b/src/gateway_feeds.h
@@ -84,6 +84,7 @@
     FeedOrder m_serversOrder;
     std::optional<BootTime> m_relayedConfigAt;
     std::optional<BootTime> m_relayedServersAt;
+    std::optional<BootTime> m_relayedEvacuatedAt; ///< When the store confirmed the evacuations of the last report.
     std::chrono::milliseconds m_lastOutage{}; ///< Last outage of the store that this gateway saw itself.
     TimePoint m_lastOutageEndedAt{};
 };
--- a/src/gateway_servers.cpp
+++ b/src/gateway_servers.cpp
@@ -2,6 +2,8 @@
 
 #include "log.h"
 
+#include <algorithm>
+
 namespace turmericline {
 
 namespace {
@@ -87,6 +89,7 @@
     m_registry.tick(now);
     m_evacuated.tick(now);
     applyEvacuations(now);
+    logColdServers();
     if (now >= m_nextExpiryAt) {
         m_nextExpiryAt = now + expiryPeriod;
         m_coldStart.expire(m_table);
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -21,13 +21,17 @@
 
 bool MemoryReservation::resize(std::size_t bytes)
 {
-    const auto others = m_budget.m_used - m_bytes;
-    if (bytes > m_bytes && others + bytes > m_budget.limitFor(bytes)) {
+    if (bytes > m_bytes && m_budget->m_used - m_bytes + bytes > m_budget->limitFor(bytes)) {
         return false;
     }
-    m_budget.m_used = others + bytes;
-    m_bytes = bytes;
+    set(bytes);
     return true;
 }
 
+void MemoryReservation::set(std::size_t bytes)
+{
+    m_budget->m_used -= std::exchange(m_bytes, bytes);
+    m_budget->m_used += bytes;
+}
+
 } // namespace turmericline
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <utility>
 
 namespace turmericline {
@@ -43,8 +44,8 @@
 class MemoryReservation
 {
 public:
-    explicit MemoryReservation(MemoryBudget &budget)
-        : m_budget(budget)
+    explicit MemoryReservation(std::shared_ptr<MemoryBudget> budget)
+        : m_budget(std::move(budget))
     {
     }
     ~MemoryReservation()
@@ -56,9 +57,11 @@
 
     /** Sets the number of bytes held. Fails, and changes nothing, if they are more than before and the budget lacks them. */
     bool resize(std::size_t bytes);
+    /** Sets the number of bytes held, also beyond the limit: for what can no longer be refused. */
+    void set(std::size_t bytes);
     void reset()
     {
-        m_budget.m_used -= std::exchange(m_bytes, 0);
+        set(0);
     }
 
     std::size_t bytes() const
@@ -67,7 +70,8 @@
     }
 
 private:
-    MemoryBudget &m_budget;
+    std::shared_ptr<MemoryBudget>
+        m_budget; ///< Shared, since pending handlers may hold a connection for longer than its owner.
     std::size_t m_bytes = 0;
 };
 
--- a/src/pass_time.cpp
+++ b/src/pass_time.cpp
@@ -1,5 +1,6 @@
 #include "pass_time.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace turmericline {
--- a/tests/fuzz_admission_test.cpp
+++ b/tests/fuzz_admission_test.cpp
@@ -8,7 +8,7 @@
 
 using namespace turmericline;
 
-/** Guards what a burst beyond the capacity costs callers: late answers for all, and refusals of the wrong requests. */
+/** Guards against late answers for all priorities in an overload, and against refusals in the wrong order of priority. */
 class AdmissionFuzzTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(AdmissionFuzzTest);
--- a/tests/fuzz_memory_budget_test.cpp
+++ b/tests/fuzz_memory_budget_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(smallHoldersFindMemoryBesideLargeOnes);
     CPPUNIT_TEST(shrinkingNeverFails);
     CPPUNIT_TEST(largestStalledCallersAreClosedFirst);
+    CPPUNIT_TEST(largeRequestClosesNoSmallOnes);
     CPPUNIT_TEST(servedRequestsAreNeverClosed);
     CPPUNIT_TEST(longestIdleCallerIsReplaced);
     CPPUNIT_TEST_SUITE_END();
@@ -31,7 +32,7 @@
     {
         const char *text = std::getenv("FUZZ_SEED");
         std::mt19937_64 random(text == nullptr ? 1 : std::strtoull(text, nullptr, 10));
-        MemoryBudget budget(limit);
+        const auto budget = std::make_shared<MemoryBudget>(limit);
         std::vector<std::unique_ptr<MemoryReservation>> holders;
         for (int step = 0; step < 200'000; ++step) {
             const auto n = holders.empty() ? 0 : random() % holders.size();
@@ -61,16 +62,16 @@
             for (const auto &it : holders) {
                 sum += it->bytes();
             }
-            CPPUNIT_ASSERT_EQUAL(sum, budget.used());
-            CPPUNIT_ASSERT(budget.used() <= limit);
+            CPPUNIT_ASSERT_EQUAL(sum, budget->used());
+            CPPUNIT_ASSERT(budget->used() <= limit);
         }
         holders.clear();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, budget.used());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, budget->used());
     }
 
     void smallHoldersFindMemoryBesideLargeOnes()
     {
-        MemoryBudget budget(limit);
+        const auto budget = std::make_shared<MemoryBudget>(limit);
         std::vector<std::unique_ptr<MemoryReservation>> large;
         do {
             large.push_back(std::make_unique<MemoryReservation>(budget));
@@ -82,7 +83,7 @@
 
     void shrinkingNeverFails()
     {
-        MemoryBudget budget(limit);
+        const auto budget = std::make_shared<MemoryBudget>(limit);
         MemoryReservation small(budget);
         MemoryReservation large(budget);
         CPPUNIT_ASSERT(large.resize(limit * 3 / 4));
@@ -100,16 +101,22 @@
             {4'000'000, m_now, false, false}, // Still sends.
             {1'000'000, m_now - 10s, false, false},
         };
-        const auto one = chooseCallersToClose(m_now, callers, 1);
+        const auto one = chooseCallersToClose(m_now, callers, 1, 1);
         CPPUNIT_ASSERT(one == std::vector<std::size_t>{1});
-        const auto three = chooseCallersToClose(m_now, callers, 8'500'000);
+        const auto three = chooseCallersToClose(m_now, callers, 8'500'000, 1);
         CPPUNIT_ASSERT(three == (std::vector<std::size_t>{1, 3, 2}));
     }
 
+    void largeRequestClosesNoSmallOnes()
+    {
+        const std::vector<CallerUsage> callers{{1'000, m_now - 60s, false, true}, {100'000, m_now, false, false}};
+        CPPUNIT_ASSERT(chooseCallersToClose(m_now, callers, 4'000'000, 200'000) == std::vector<std::size_t>{1});
+    }
+
     void servedRequestsAreNeverClosed()
     {
         const std::vector<CallerUsage> callers{{4'000'000, m_now - 10s, true, false}, {1'000, m_now, false, false}};
-        CPPUNIT_ASSERT(chooseCallersToClose(m_now, callers, 5'000'000) == std::vector<std::size_t>{1});
+        CPPUNIT_ASSERT(chooseCallersToClose(m_now, callers, 5'000'000, 1) == std::vector<std::size_t>{1});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, chooseCallerToReplace(callers));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, chooseCallerToReplace(std::span(callers).first(1)));
     }
--- a/tests/unit_cold_start_test.cpp
+++ b/tests/unit_cold_start_test.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(ColdStartTest);
     CPPUNIT_TEST(serviceWithoutARateHasNoColdServers);
+    CPPUNIT_TEST(serverAnnouncedBeforeTheConfigurationIsCold);
     CPPUNIT_TEST(announcedTimeCounts);
     CPPUNIT_TEST(newRunIsColdAgain);
     CPPUNIT_TEST(returnedDomainCountsAsCold);
@@ -59,6 +60,18 @@
         CPPUNIT_ASSERT(limits().take(m_fixture.now, {"a", 0, "d1"}).isAllowed);
     }
 
+    /** The announcements may arrive before the configuration. */
+    void serverAnnouncedBeforeTheConfigurationIsCold()
+    {
+        announce("a", std::nullopt);
+        announce("b", 2'000ms);
+        announce("c", 0ms);
+        setRate(1);
+        CPPUNIT_ASSERT(isCold("a"));
+        CPPUNIT_ASSERT(isCold("b"));
+        CPPUNIT_ASSERT(!isCold("c"));
+    }
+
     void announcedTimeCounts()
     {
         setRate(1);
@@ -135,7 +148,7 @@
         setRate(0.01);
         announce("a", 3'000ms);
         CPPUNIT_ASSERT(!limits().take(m_fixture.now, {"a", 0, "d1"}).isAllowed);
-        limits().giveBack(m_fixture.now, "a");
+        limits().giveBack(m_fixture.now, {"a", 0, "d1"});
         CPPUNIT_ASSERT(limits().take(m_fixture.now, {"a", 0, "d1"}).isAllowed);
         CPPUNIT_ASSERT(!limits().take(m_fixture.now, {"a", 0, "d1"}).isAllowed);
     }
