--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -157,7 +157,7 @@
         }
         if (m_summary.reason.empty()) {
             m_summary.reason
-                = isLimited ? "all servers are cold or at their limits" : "no backend server can take the request";
+                = isLimited ? "all servers are at their limits" : "no backend server can take the request";
         }
         giveUp(now, actions);
         return;
