--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -203,7 +203,7 @@
     m_state = State::Serving;
     m_isResponseEnded = false;
     m_closesAfterResponse = true;
-    m_undecoded = {};
+    std::string().swap(m_undecoded); // Assigning an empty string would keep the memory.
     m_decoder.reset();
     m_servedBytes = 0;
     m_reservation.set(heldBytes());
@@ -379,7 +379,7 @@
     m_since = m_now;
     asio::error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    m_undecoded = {};
+    std::string().swap(m_undecoded); // Assigning an empty string would keep the memory.
     m_reservation.set(heldBytes());
     read();
 }
@@ -397,7 +397,7 @@
 {
     m_state = State::Closed;
     m_handlers = {};
-    m_undecoded = {};
+    std::string().swap(m_undecoded); // Assigning an empty string would keep the memory.
     m_decoder.reset();
     m_reservation.reset();
     asio::error_code ec;
--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -121,7 +121,7 @@
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = {};
-    m_body = {};
+    std::string().swap(m_body); // Assigning an empty string would keep the memory.
     m_headBytes = 0;
     m_bodyBytes = 0;
     m_isInValue = false;
