--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -156,8 +156,7 @@
             recordDenial(now, next->server, next->until);
         }
         if (m_summary.reason.empty()) {
-            m_summary.reason
-                = isLimited ? "all servers are at their limits" : "no backend server can take the request";
+            m_summary.reason = isLimited ? "all servers are at their limits" : "no backend server can take the request";
         }
         giveUp(now, actions);
         return;
