--- a/tests/process_body_limits_test.cpp
+++ b/tests/process_body_limits_test.cpp
@@ -1,35 +1,37 @@
-#include "body_crowd_fixture.h"
+#include "untrusted_callers_fixture.h"
 
-/** Guards against limits that turn away a single request within the configured limits, and against unbounded crowds. */
+/** Guards against limits that turn away a single request within the configured limits. */
 class BodyLimitsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(BodyLimitsTest);
-    CPPUNIT_TEST(largestBodyIsServedWithoutACrowd);
-    CPPUNIT_TEST(largestBodyIsServedAfterTheCrowdHasLeft);
+    CPPUNIT_TEST(largestBodyIsServedAlone);
+    CPPUNIT_TEST(largestBodyIsServedAfterOthersHaveLeft);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string largest()
     {
-        return BodyCrowd::headWithLength(BodyCrowd::maxBodyBytes) + std::string(BodyCrowd::maxBodyBytes, 'x');
+        return UntrustedCallers::headWithLength(UntrustedCallers::maxBodyBytes)
+               + std::string(UntrustedCallers::maxBodyBytes, 'x');
     }
 
 public:
-    void largestBodyIsServedWithoutACrowd()
+    void largestBodyIsServedAlone()
     {
-        BodyCrowd crowd;
-        CPPUNIT_ASSERT_EQUAL(200, crowd.call(largest()).status);
-        const auto chunks = BodyCrowd::headWithChunks() + BodyCrowd::chunks(BodyCrowd::maxBodyBytes, 1'000);
-        CPPUNIT_ASSERT_EQUAL(200, crowd.call(chunks + "0\r\n\r\n").status);
+        UntrustedCallers callers;
+        CPPUNIT_ASSERT_EQUAL(200, callers.call(largest()).status);
+        const auto chunks
+            = UntrustedCallers::headWithChunks() + UntrustedCallers::chunks(UntrustedCallers::maxBodyBytes, 1'000);
+        CPPUNIT_ASSERT_EQUAL(200, callers.call(chunks + "0\r\n\r\n").status);
     }
 
-    void largestBodyIsServedAfterTheCrowdHasLeft()
+    void largestBodyIsServedAfterOthersHaveLeft()
     {
-        BodyCrowd crowd;
-        crowd.sendAll(BodyCrowd::headWithLength(BodyCrowd::maxBodyBytes) + std::string(500'000, 'x'));
-        crowd.closeCallers();
+        UntrustedCallers callers;
+        callers.sendAll(UntrustedCallers::headWithLength(UntrustedCallers::maxBodyBytes) + std::string(500'000, 'x'));
+        callers.closeCallers();
         // The gateway learns of the closed connections while it answers.
-        crowd.expectSound();
-        CPPUNIT_ASSERT_EQUAL(200, crowd.call(largest()).status);
+        callers.expectSound();
+        CPPUNIT_ASSERT_EQUAL(200, callers.call(largest()).status);
     }
 };
 
--- a/tests/body_crowd_fixture.h
+++ b/tests/untrusted_callers_fixture.h
@@ -15,10 +15,10 @@
 #include <vector>
 
 /**
- * A gateway whose limits are lowered, one backend server, and a crowd of callers that stay just short of the end of their
- * requests. The crowd and the bounds are the same for all cases.
+ * A gateway whose limits are lowered, one backend server, and many callers that stop just short of the end of their
+ * requests. Their number and the bounds are the same for all cases.
  */
-class BodyCrowd
+class UntrustedCallers
 {
 public:
     static constexpr std::size_t callerCount = 120;
@@ -26,7 +26,7 @@
     static constexpr std::size_t memoryBoundMiB = 48;
     static constexpr std::size_t descriptorBound = 200;
 
-    BodyCrowd()
+    UntrustedCallers()
     {
         // An environment variable, as a program without this setting rejects the flag.
         ::setenv("TURMERICLINE_REQUEST_MEMORY_MB", "16", 1);
