Apply the regions of a workspace only to requests that belong to it

A request on a route without keys belongs to no workspace, but a key that it carried anyway was looked up a second time, and the regions of that key's workspace restricted it. The workspace that the request was matched to now decides, so there is one lookup. unit.evacuation has the case: keyOnARouteWithoutKeysRestrictsNothing.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -213,14 +213,14 @@
         refuse(*connection, caller, {503, "the instance is stopping", drainRetryAfter});
         return;
     }
-    auto routed = routeRequest(now, m_table, freshness(), caller, std::move(head), std::move(body), m_random);
+    auto routed
+        = routeRequest(now, m_table, freshness(), m_regions, caller, std::move(head), std::move(body), m_random);
     if (const auto *reply = std::get_if<Reply>(&routed)) {
         refuse(*connection, caller, *reply);
         return;
     }
     auto &request = std::get<ExchangeRequest>(routed);
     request.servers = serverBasis();
-    request.allowedDomains = m_regions.allowedDomains(*request.rule, m_table->findWorkspace(request.caller.key));
     auto call = std::make_shared<GatewayCall>(std::move(request),
                                               ExchangeContext{m_backends,
                                                               m_retries,
--- a/src/gateway_route.cpp
+++ b/src/gateway_route.cpp
@@ -30,6 +30,7 @@
 std::variant<ExchangeRequest, Reply> routeRequest(TimePoint now,
                                                   std::shared_ptr<const RoutingTable> table,
                                                   ConfigFreshness freshness,
+                                                  const RegionMap &regions,
                                                   CallerFields caller,
                                                   HttpHead head,
                                                   std::string body,
@@ -68,6 +69,7 @@
         request.parts.push_back(partFingerprint(request.service, id));
     }
     request.priority = workspace == nullptr ? rule->priority : workspace->priority.value_or(rule->priority);
+    request.allowedDomains = regions.allowedDomains(*rule, workspace);
     request.arrived = now;
     request.table = std::move(table);
     return request;
--- a/src/gateway_route.h
+++ b/src/gateway_route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange_type.h"
+#include "region_map.h"
 
 #include <random>
 #include <variant>
@@ -21,6 +22,7 @@
 std::variant<ExchangeRequest, Reply> routeRequest(TimePoint now,
                                                   std::shared_ptr<const RoutingTable> table,
                                                   ConfigFreshness freshness,
+                                                  const RegionMap &regions,
                                                   CallerFields caller,
                                                   HttpHead head,
                                                   std::string body,
--- a/tests/fuzz_platform_test.cpp
+++ b/tests/fuzz_platform_test.cpp
@@ -262,7 +262,7 @@
             head.target = path;
             CallerFields caller;
             caller.key = key;
-            const auto routed = routeRequest(TimePoint{}, table, freshness, caller, head, "", random);
+            const auto routed = routeRequest(TimePoint{}, table, freshness, {}, caller, head, "", random);
             const auto *reply = std::get_if<Reply>(&routed);
             return reply == nullptr ? 0 : reply->status;
         };
--- a/tests/unit_evacuation_test.cpp
+++ b/tests/unit_evacuation_test.cpp
@@ -1,6 +1,7 @@
 #include "backend_table.h"
 #include "evacuation.h"
 #include "feed_relay_codec.h"
+#include "gateway_route.h"
 #include "platform_dialect.h"
 #include "region_map.h"
 
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(reportKeepsEvacuatedDomains);
     CPPUNIT_TEST(bothListsOfRegionsApply);
     CPPUNIT_TEST(domainWithoutARegionIsNotAllowed);
+    CPPUNIT_TEST(keyOnARouteWithoutKeysRestrictsNothing);
     CPPUNIT_TEST_SUITE_END();
 
     const GatewayDialect m_dialect = platformDialect();
@@ -177,6 +179,34 @@
         const auto none = parseRegions({}).allowedDomains(rule, nullptr);
         CPPUNIT_ASSERT(!table.choose(m_now, "s", {}, random, std::nullopt, {&*none, {}}));
     }
+    /** Such a request belongs to no workspace, whatever key its caller sends. */
+    void keyOnARouteWithoutKeysRestrictsNothing()
+    {
+        RoutingConfig config;
+        config.workspaces = {{"w", {"k"}, std::nullopt, {"r1"}}};
+        for (const bool allowsAnonymous : {true, false}) {
+            RoutingRule rule;
+            rule.host = "h";
+            rule.prefix = allowsAnonymous ? "/open/" : "/keyed/";
+            rule.targets = {{"s", 1}};
+            rule.allowsAnonymous = allowsAnonymous;
+            config.rules.push_back(rule);
+        }
+        const auto table = std::make_shared<const RoutingTable>(config);
+        const auto regions = parseRegions({"d1:r1", "d2:r2"});
+        std::mt19937_64 random(1);
+        const auto domainsOf = [&](const std::string &target) {
+            CallerFields caller;
+            caller.key = "k";
+            HttpHead head;
+            head.target = target;
+            head.headers = {{"Host", "h"}};
+            auto routed = routeRequest(m_now, table, ConfigFreshness::Recent, regions, caller, head, "", random);
+            return std::get<ExchangeRequest>(routed).allowedDomains;
+        };
+        CPPUNIT_ASSERT(!domainsOf("/open/x"));
+        CPPUNIT_ASSERT(domainsOf("/keyed/x") == std::set<std::string>{"d1"});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EvacuationTest);
