Remove what stood twice or was not needed in the new parts

The time in which lost writes come back to a restored store stood in the feed and in the evacuations. Cold servers were logged from three places, of which the tick suffices. The list of callers was copied at each tick, though nothing removes from it there. An accessor and an include had no use. No behaviour changes, apart from cold servers being logged up to 50 ms later.

--- a/src/cold_start.h
+++ b/src/cold_start.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/evacuation.cpp
+++ b/src/evacuation.cpp
@@ -1,13 +1,13 @@
 #include "evacuation.h"
 
+#include "gateway_feed.h"
+
 #include <utility>
 
 namespace turmericline {
 
 namespace {
 
-/** After a restore, the operators write lost changes again within about this time. */
-constexpr std::chrono::milliseconds rewriteTime{2'300};
 /** Limit of evacuated domains; further items are ignored, since others may write there as well. */
 constexpr std::size_t maxDomains = 1'000;
 
--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -89,7 +89,7 @@
 
 void GatewayCallers::tick(TimePoint now)
 {
-    for (const auto &it : std::vector<std::shared_ptr<CallerConnection>>(m_connections.begin(), m_connections.end())) {
+    for (const auto &it : m_connections) {
         it->tick(now);
     }
     removeClosed();
--- a/src/gateway_feed.cpp
+++ b/src/gateway_feed.cpp
@@ -8,8 +8,6 @@
 
 /** Subtracted from the bound on removed keys, to allow for the transit time of a request and one tick. */
 constexpr std::chrono::milliseconds freshnessMargin{300};
-/** The operators write lost changes again at once, backend servers within about 2 s. */
-constexpr std::chrono::milliseconds configSettleTime{2'300};
 /** Minimum time between server reads. Servers keep serving for 2 s after they announce that they leave. */
 constexpr std::chrono::milliseconds serverWatchPeriod{400};
 /** Each gateway sends 2 reads; with this, 1,900 gateways send 4,000 a second. */
@@ -22,7 +20,7 @@
 {
     StoreFeedConfig config;
     config.prefix = std::move(prefix);
-    config.settleTime = configSettleTime;
+    config.settleTime = rewriteTime;
     config.watchWait = configWatchWait;
     return config;
 }
--- a/src/gateway_feed.h
+++ b/src/gateway_feed.h
@@ -14,6 +14,9 @@
 /** Long poll of the servers. */
 inline constexpr std::chrono::milliseconds serverWatchWait{8'000};
 
+/** After a restore of the store, the operators write lost changes again at once, and backend servers within about 2 s. */
+inline constexpr std::chrono::milliseconds rewriteTime{2'300};
+
 /** Feed of what the operators write: the configuration, whose state must be confirmed often, and the evacuations. */
 StoreFeedConfig configFeedConfig(std::string prefix);
 /** Feed of the announcements of backend servers. */
--- a/src/gateway_servers.cpp
+++ b/src/gateway_servers.cpp
@@ -28,9 +28,7 @@
 
 std::size_t GatewayServers::apply(TimePoint now, const StoreChange &change, std::chrono::milliseconds outage)
 {
-    const auto kept = m_registry.apply(now, change, outage);
-    logColdServers();
-    return kept;
+    return m_registry.apply(now, change, outage);
 }
 
 void GatewayServers::applyOperatorChange(TimePoint now, const StoreChange &change)
@@ -66,7 +64,6 @@
                  it.isEvacuated ? "failure domain evacuated" : "evacuation of a failure domain ended",
                  {{"evacuated_domain", it.domain}, {"evacuated", m_evacuated.domains().size()}});
     }
-    logColdServers();
 }
 
 void GatewayServers::logColdServers()
--- a/src/pass_time.h
+++ b/src/pass_time.h
@@ -23,11 +23,6 @@
 
     /** Whether there was a pause lately; the estimate tells nothing otherwise. */
     bool isRecent(TimePoint now) const;
-    /** Mean pause. */
-    std::chrono::duration<double> mean() const
-    {
-        return m_mean;
-    }
     /** Pause to expect at @p load requests per rank when the group is as slow as at its slowest of the last seconds. */
     std::chrono::duration<double> slowest(TimePoint now, double load, const EngineProfile &engine) const;
 
