--- a/tests/fuzz_admission_test.cpp
+++ b/tests/fuzz_admission_test.cpp
@@ -1,4 +1,5 @@
 #include "admission_simulation.h"
+#include "env_number.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -20,12 +21,6 @@
 
     using Results = std::array<KindResult, 3>;
 
-    static std::uint64_t envNumber(const char *name, std::uint64_t value)
-    {
-        const char *text = std::getenv(name);
-        return text == nullptr ? value : std::strtoull(text, nullptr, 10);
-    }
-
     void forEachSeed(const std::function<void(std::uint64_t)> &run) const
     {
         for (std::uint64_t n = 0; n < envNumber("FUZZ_SEEDS", 3); ++n) {
--- a/tests/fuzz_cold_start_test.cpp
+++ b/tests/fuzz_cold_start_test.cpp
@@ -1,9 +1,10 @@
 #include "cold_start.h"
+#include "env_number.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <cstdlib>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -92,7 +93,6 @@
         TimePoint frozenUntil{};
     };
 
-    // Gateways are not moved, since the limits are not meant to be copied during a run.
     Gateway makeGateway(std::size_t fleetSize)
     {
         Gateway it{ColdStartLimits(m_random()), 0, {}};
@@ -163,12 +163,6 @@
     std::vector<std::vector<TimePoint>> m_arrivals; ///< By server.
 };
 
-std::uint64_t envNumber(const char *name, std::uint64_t value)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? value : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 /** Guards against more requests to a cold server than it takes, from any number of gateways that cannot talk to each other. */
--- a/tests/fuzz_memory_budget_test.cpp
+++ b/tests/fuzz_memory_budget_test.cpp
@@ -1,10 +1,10 @@
 #include "caller_shedding.h"
+#include "env_number.h"
 #include "memory_budget.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <memory>
 #include <random>
 
@@ -30,8 +30,7 @@
 public:
     void anySequenceLeavesNothingHeld()
     {
-        const char *text = std::getenv("FUZZ_SEED");
-        std::mt19937_64 random(text == nullptr ? 1 : std::strtoull(text, nullptr, 10));
+        std::mt19937_64 random(envNumber("FUZZ_SEED", 1));
         const auto budget = std::make_shared<MemoryBudget>(limit);
         std::vector<std::unique_ptr<MemoryReservation>> holders;
         for (int step = 0; step < 200'000; ++step) {
--- a/tests/fuzz_property.h
+++ b/tests/fuzz_property.h
@@ -1,25 +1,22 @@
 #pragma once
 
+#include "env_number.h"
+
 #include <rapidcheck.h>
 #include <rapidcheck/detail/TestListenerAdapter.h>
 #include <rapidcheck/detail/TestParams.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
 #include <sstream>
 #include <string>
 
 /** Parameters of a property test; FUZZ_SEED and FUZZ_STEPS (commands per case) override the defaults. */
 inline rc::detail::TestParams fuzzParams(int steps, int cases)
 {
-    const auto fromEnvironment = [](const char *name, std::uint64_t fallback) {
-        const char *text = std::getenv(name);
-        return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-    };
     rc::detail::TestParams params;
-    params.seed = fromEnvironment("FUZZ_SEED", 20260115);
-    params.maxSize = static_cast<int>(fromEnvironment("FUZZ_STEPS", static_cast<std::uint64_t>(steps)));
+    params.seed = envNumber("FUZZ_SEED", 20260115);
+    params.maxSize = static_cast<int>(envNumber("FUZZ_STEPS", static_cast<std::uint64_t>(steps)));
     params.maxSuccess = cases;
     return params;
 }
--- a/tests/process_body_entry_test.cpp
+++ b/tests/process_body_entry_test.cpp
@@ -1,4 +1,5 @@
 #include "caller_fixture.h"
+#include "unread_bytes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,6 +28,9 @@
             callers.push_back(std::make_unique<RawCaller>(fixture.io, fixture.entry.port()));
             callers.back()->send(most);
         }
+        while (unreadBytes(fixture.entry.port()) > 0) {
+            fixture.io.poll();
+        }
         CPPUNIT_ASSERT_EQUAL(200, fixture.ask(CallerFixture::completion(false, 1)).status);
         const auto peak = fixture.entry.memoryKiB("VmHWM") / 1'024;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(peak) + " MB", peak < memoryBoundMiB);
--- a/tests/process_body_limits_test.cpp
+++ b/tests/process_body_limits_test.cpp
@@ -6,6 +6,7 @@
     CPPUNIT_TEST_SUITE(BodyLimitsTest);
     CPPUNIT_TEST(largestBodyIsServedAlone);
     CPPUNIT_TEST(largestBodyIsServedAfterOthersHaveLeft);
+    CPPUNIT_TEST(callerIsToldOnceToContinue);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string largest()
@@ -33,6 +34,12 @@
         callers.expectSound();
         CPPUNIT_ASSERT_EQUAL(200, callers.call(largest()).status);
     }
+    /** An answer to each piece of a body would let a caller that reads nothing fill the memory. */
+    void callerIsToldOnceToContinue()
+    {
+        UntrustedCallers callers;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, callers.continuesFor(20));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BodyLimitsTest);
--- a/tests/untrusted_callers_fixture.h
+++ b/tests/untrusted_callers_fixture.h
@@ -3,14 +3,13 @@
 #include "fake_platform.h"
 #include "fake_store.h"
 #include "gateway_process.h"
+#include "unread_bytes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -77,7 +76,7 @@
     /** The process lives, within its bounds, and answers one ordinary request. */
     void expectSound()
     {
-        while (unreadBytes() > 0) {
+        while (unreadBytes(m_gateway->process().port()) > 0) {
             m_io.poll();
         }
         CPPUNIT_ASSERT_EQUAL(200, m_gateway->readiness());
@@ -98,35 +97,35 @@
         return caller.answer();
     }
 
-    void closeCallers()
-    {
-        m_callers.clear();
-    }
-
-private:
-    /** Bytes that the kernel holds because the gateway has not read them yet. */
-    std::uint64_t unreadBytes()
+    /** Sends a body in @p pieces pieces, each once the one before has been read; returns how often 100 is answered. */
+    std::size_t continuesFor(std::size_t pieces)
     {
-        const auto port = fmt::format(":{:04X}", std::stoi(m_gateway->process().port()));
-        std::ifstream file("/proc/net/tcp");
-        std::uint64_t bytes = 0;
-        std::string slot;
-        std::string local;
-        std::string remote;
-        std::string state;
-        std::string queues;
-        for (std::string line; std::getline(file, line);) {
-            std::istringstream fields(line);
-            fields >> slot >> local >> remote >> state >> queues;
-            if (local.ends_with(port) && state == established) {
-                bytes += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+        const auto port = m_gateway->process().port();
+        RawCaller caller(m_io, port);
+        caller.send("POST /u/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nExpect: 100-continue\r\nConnection: close\r\n"
+                    "Content-Length: "
+                    + std::to_string(pieces) + "\r\n\r\n");
+        for (std::size_t n = 0; n < pieces; ++n) {
+            caller.send("x");
+            while (unreadBytes(port) > 0) {
+                m_io.poll();
             }
         }
-        return bytes;
+        const auto answers = caller.rest();
+        std::size_t count = 0;
+        for (auto at = answers.find("100 Continue"); at != std::string::npos;
+             at = answers.find("100 Continue", at + 1)) {
+            ++count;
+        }
+        return count;
     }
 
-    static constexpr const char *established = "01"; ///< In /proc/net/tcp.
+    void closeCallers()
+    {
+        m_callers.clear();
+    }
 
+private:
     asio::io_context m_io;
     turmericline::fakes::FakeStore m_store{m_io};
     turmericline::fakes::FakeReplica m_replica{m_io};
