--- a/review/standin-2/late_leave.cpp
+++ b/review/standin-2/late_leave.cpp
@@ -51,7 +51,8 @@
         for (int n = 0; n < 4; ++n) {
             const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
             const auto end = endpointOf("127.0.0.1", m_port);
-            connect(fd, reinterpret_cast<const sockaddr *>(&end), sizeof end);
+            // It does not complete at once, and need not.
+            static_cast<void>(connect(fd, reinterpret_cast<const sockaddr *>(&end), sizeof end));
             m_fillers.push_back(fd);
         }
     }
@@ -188,14 +189,24 @@
                                 && arrivedAt > facts.leftAt + drainMs;
             facts.tooLate += isLate ? 1 : 0;
             if (id == facts.leftReplica) {
-                record.line(id + " runs " + attempt + ", " + std::to_string(arrivedAt - facts.leftAt)
-                            + " ms after it left the store" + (isLate ? ": TOO LATE, gateway in touch" : ""));
+                record.line(joined({id,
+                                    " runs ",
+                                    attempt,
+                                    ", ",
+                                    std::to_string(arrivedAt - facts.leftAt),
+                                    " ms after it left the store",
+                                    isLate ? ": TOO LATE, gateway in touch" : ""}));
             }
         }
         sleepMs(5);
         sendAll(fd,
-                "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nReplica-Signature: " + id + "." + attempt
-                    + "\r\nContent-Length: 4\r\n\r\ndone");
+                joined({"HTTP/1.1 200 OK\r\nAttempt-Id: ",
+                        attempt,
+                        "\r\nReplica-Signature: ",
+                        id,
+                        ".",
+                        attempt,
+                        "\r\nContent-Length: 4\r\n\r\ndone"}));
     }
 }
 
@@ -231,7 +242,7 @@
     Store store;
     std::vector<std::unique_ptr<Server>> replicas;
     const auto addReplica = [&] {
-        const auto id = "i-7f3a91d" + std::to_string(replicas.size());
+        auto id = "i-7f3a91d" + std::to_string(replicas.size());
         replicas.push_back(std::make_unique<Server>("127.0.0.1", 0, [id, &facts, &record](int fd) {
             serveReplica(fd, id, facts, record);
         }));
@@ -242,6 +253,8 @@
     store.put("op/config", config);
     std::vector<std::unique_ptr<Link>> links;
     std::vector<std::unique_ptr<Gateway>> gateways;
+    links.reserve(gatewayCount);
+    gateways.reserve(gatewayCount);
     std::string seeds;
     for (int n = 0; n < gatewayCount; ++n) {
         links.push_back(std::make_unique<Link>(store.address()));
@@ -257,6 +270,7 @@
     }
     std::atomic<bool> isOver = false;
     std::vector<std::thread> clients;
+    clients.reserve(gatewayCount);
     for (int n = 0; n < gatewayCount; ++n) {
         clients.emplace_back([&, n] {
             runClient(*gateways[static_cast<std::size_t>(n)], n, isOver);
--- a/review/standin-2/slow_reader.cpp
+++ b/review/standin-2/slow_reader.cpp
@@ -29,14 +29,21 @@
     while (reader.read(request)) {
         const auto attempt = request.header("attempt-id");
         const bool isOther = request.header("expect-replica") != id;
-        record.line(id + (isOther ? " refuses " : " runs ") + attempt);
+        record.line(joined({id, isOther ? " refuses " : " runs ", attempt}));
         const std::string body(request.target() == "/log/large" ? answerBytes : 800, 'x');
         const auto head = isOther ? "HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-                                  : "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nReplica-Signature: " + id + "."
-                                        + attempt + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+                                  : joined({"HTTP/1.1 200 OK\r\nAttempt-Id: ",
+                                            attempt,
+                                            "\r\nReplica-Signature: ",
+                                            id,
+                                            ".",
+                                            attempt,
+                                            "\r\nContent-Length: ",
+                                            std::to_string(body.size()),
+                                            "\r\n\r\n"});
         const bool isSent = sendAll(fd, head) && (isOther || sendAll(fd, body));
-        record.line(id + (isSent ? " has sent the whole answer to " : " could not send the whole answer to ")
-                    + attempt);
+        record.line(
+            joined({id, isSent ? " has sent the whole answer to " : " could not send the whole answer to ", attempt}));
         if (!isSent) {
             return;
         }
@@ -45,8 +52,11 @@
 
 std::string requestText(const std::string &path, const std::string &attempt)
 {
-    return "GET " + path + " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " + attempt
-           + "\r\nDeadline-Ms: 8000\r\nApi-Key: n2ctnfzs989anu6wsjnb\r\n\r\n";
+    return joined({"GET ",
+                   path,
+                   " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: ",
+                   attempt,
+                   "\r\nDeadline-Ms: 8000\r\nApi-Key: n2ctnfzs989anu6wsjnb\r\n\r\n"});
 }
 
 struct Outcome
@@ -142,6 +152,7 @@
     gateway.waitUntilReady();
     sleepMs(4'000); // The gateway is in touch.
     std::vector<Client> all;
+    all.reserve(clients);
     for (int n = 0; n < clients; ++n) {
         all.push_back(connectClient(gateway, n, record));
     }
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -24,6 +24,7 @@
 #include <cstring>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -51,6 +52,15 @@
 
 inline const Clock::time_point startOfRun = Clock::now();
 
+inline std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string all;
+    for (const auto it : parts) {
+        all.append(it);
+    }
+    return all;
+}
+
 inline std::int64_t nowMs()
 {
     return std::chrono::duration_cast<milliseconds>(Clock::now() - startOfRun).count();
@@ -380,6 +390,17 @@
         }
     }
 
+    /** Stops listening and closes all connections in order, as the kernel does when a process ends. */
+    void end()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isKilled = true;
+        shutdown(m_fd, SHUT_RDWR);
+        for (const int fd : m_open) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
+
     bool isKilled() const
     {
         return m_isKilled;
