Review: scripts end the gateways that they started in any case

A driver that gave up or was ended left its gateways running (seen once, three processes). They now end with it.

--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -96,8 +97,14 @@
     std::ofstream m_out;
 };
 
+/** Processes that this one has started and not ended yet. */
+inline std::set<pid_t> startedProcesses;
+
 [[noreturn]] inline void giveUp(const std::string &reason)
 {
+    for (const auto it : startedProcesses) {
+        ::kill(it, SIGKILL);
+    }
     std::cerr << "the case could not run: " << reason << "\n";
     std::_Exit(CouldNotRun);
 }
@@ -727,6 +734,7 @@
         const std::string path = "PATH=/usr/bin:/bin";
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with this program, however that ends.
             const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(fd, STDOUT_FILENO);
             dup2(fd, STDERR_FILENO);
@@ -738,6 +746,7 @@
             execve(arguments[0], arguments, environment);
             _exit(127);
         }
+        startedProcesses.insert(m_pid);
     }
 
     /** Asks for readiness as the platform does. */
@@ -777,6 +786,7 @@
         if (m_pid > 0) {
             kill(m_pid, SIGKILL);
             waitpid(m_pid, nullptr, 0);
+            startedProcesses.erase(m_pid);
             m_pid = -1;
         }
     }
@@ -785,6 +795,7 @@
     bool hasEnded()
     {
         if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+            startedProcesses.erase(m_pid);
             m_pid = -1;
         }
         return m_pid < 0;
