Do not take a reset during an upload for the end of an answer

Seen by callers: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the gateway still writes the request.

Cause: the kernel reports a reset to one system call only. If the write of the request got it, the gateway ignored it, and the next read returned an orderly end, which ends an answer without a length.

Change: a connection on which a write failed does not end an answer in order any more. The exception is EPIPE, which Linux reports if the reset came after an orderly end: the answer had been complete before. Answers with a length or in chunks never depended on the end of the connection.

Early answers that end in order, with any framing, are passed on whole; heads and bodies cut at any byte were no answer before, either.

--- a/src/backend_connection.cpp
+++ b/src/backend_connection.cpp
@@ -95,10 +95,14 @@
         if (ec || self->m_state == State::Closed) {
             return;
         }
-        // Errors are ignored: the server may have responded before it closed the connection, which read() detects.
-        if (!self->m_writer.flush()) {
+        const auto writeError = self->m_writer.flush();
+        if (!writeError) {
             self->waitWritable();
+            return;
         }
+        // The server may have responded before it closed the connection, which read() detects. The kernel reports a reset
+        // only once, so reads do not tell it from an orderly end any more. A reset that follows such an end is EPIPE.
+        self->m_isReset = writeError != asio::error::broken_pipe;
     });
 }
 
@@ -195,7 +199,8 @@
         return;
     }
     // A response without a length ends with an orderly close; after a reset it is incomplete.
-    if (ec == asio::error::eof && m_decoder.hasHead() && !m_isSkipping) {
+    const bool isOrderly = ec == asio::error::eof && !m_isReset;
+    if (isOrderly && m_decoder.hasHead() && !m_isSkipping) {
         m_decoder.endOfInput();
         auto body = m_decoder.takeBody();
         if (!body.empty() && m_isHeadAccepted && m_state == State::Busy) {
@@ -209,7 +214,8 @@
     }
     if (m_state != State::Closed) {
         fail(m_decoder.hasStarted() ? BackendFault::Broken : BackendFault::Unreachable,
-             "the server closed the connection: " + ec.message());
+             m_isReset ? "the connection failed while the request was sent"
+                       : "the server closed the connection: " + ec.message());
     }
 }
 
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -118,6 +118,7 @@
     bool m_isReading = false;
     bool m_isPaused = false;
     bool m_isWaitingWritable = false;
+    bool m_isReset = false; ///< A write has failed because the connection was reset or timed out.
     bool m_isSkipping = false; ///< The response being read belongs to another request.
     bool m_hasSkipped = false;
     std::size_t m_bytesBeforeHead = 0; ///< Of the current request: received before the head of its final response.
