Reject answers whose status line is outside the protocol

Seen by callers: a server in trouble answers with the status 600, 999 or 0200, and the caller gets it as an answer, the last one as 200.

Cause: http_parser takes any digits up to 999 and any version, and the gateway took what is below 200 for an interim answer.

Change: HeadSyntax checks the status line as it arrives: version 1.x, one blank, three digits from 100 to 599, then a blank or the end of the line, no control bytes, and not 101, which the gateway never asks for. HttpDecoder applies it to all answers that the programs of the platform read (servers, store, ranks, agents, other gateways). The caller gets 502 at once.

--- /dev/null
+++ b/src/head_syntax.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace turmericline {
+
+/**
+ * Checks what http_parser and libcurl let pass in the head of an HTTP/1 message. A status line has a version 1.x and a
+ * status of three digits from 100 to 599 (RFC 9112 section 4, RFC 9110 section 15), but not 101, which is never asked for.
+ */
+class HeadSyntax
+{
+public:
+    enum class Kind {
+        Request,
+        Response,
+    };
+
+    explicit HeadSyntax(Kind kind);
+
+    /** Checks the next bytes of the message, which may go beyond its head; returns false if one is not allowed. */
+    bool check(std::string_view bytes);
+
+private:
+    enum class State {
+        Start, ///< Empty lines before the message are skipped.
+        StatusLine,
+        Ended,
+    };
+
+    bool checkByte(char c);
+    bool checkStatusByte(char c);
+
+    State m_state;
+    std::size_t m_position = 0; ///< In the status line.
+    int m_status = 0;
+};
+
+} // namespace turmericline
--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -6,6 +6,15 @@
 
 namespace turmericline {
 
+namespace {
+
+HeadSyntax::Kind syntaxKind(HttpDecoder::Kind kind)
+{
+    return kind == HttpDecoder::Kind::Request ? HeadSyntax::Kind::Request : HeadSyntax::Kind::Response;
+}
+
+} // namespace
+
 /** C callbacks of http_parser; a result other than 0 stops the parser. */
 struct HttpDecoder::Callbacks
 {
@@ -112,6 +121,7 @@
 HttpDecoder::HttpDecoder(Kind kind, const HttpDecoderLimits &limits)
     : m_kind(kind)
     , m_limits(limits)
+    , m_syntax(syntaxKind(kind))
 {
     reset();
 }
@@ -120,6 +130,7 @@
 {
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
+    m_syntax = HeadSyntax(syntaxKind(m_kind));
     m_head = {};
     std::string().swap(m_body); // Assigning an empty string would keep the memory.
     m_headBytes = 0;
@@ -141,6 +152,10 @@
     if (m_isComplete || m_fault != HttpFault::None || bytes.empty()) {
         return 0;
     }
+    if (!m_hasHead && !m_syntax.check(bytes)) {
+        m_fault = HttpFault::Syntax;
+        return 0;
+    }
     static const http_parser_settings settings = Callbacks::settings();
     const bool hadHead = m_hasHead;
     const auto n = http_parser_execute(&m_parser, &settings, bytes.data(), bytes.size());
--- a/src/http_decoder.h
+++ b/src/http_decoder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "head_syntax.h"
 #include "http_server.h"
 
 #include <http_parser.h>
@@ -51,7 +52,10 @@
     std::size_t maxBodyBytes = 64U << 20U;
 };
 
-/** Incremental decoder of HTTP/1.1 requests or responses. Wraps http_parser in an interface without callbacks. */
+/**
+ * Incremental decoder of HTTP/1.1 requests or responses. Wraps http_parser in an interface without callbacks, and rejects
+ * heads that http_parser lets pass although they are outside the protocol.
+ */
 class HttpDecoder
 {
 public:
@@ -114,6 +118,7 @@
     Kind m_kind;
     HttpDecoderLimits m_limits;
     http_parser m_parser{};
+    HeadSyntax m_syntax;
     HttpHead m_head;
     std::string m_body;
     std::size_t m_headBytes = 0;
--- a/tests/broken_answer_fixture.h
+++ b/tests/broken_answer_fixture.h
@@ -106,6 +106,19 @@
         CPPUNIT_ASSERT_MESSAGE(text, body == got.answer.body);
     }
 
+    /** The server sends @p bytes and ends its direction; if they state a length, also without an end. */
+    void expectBroken(const std::string &bytes)
+    {
+        for (const auto end : {ServerEnd::HalfClose, ServerEnd::Keep}) {
+            m_script = {bytes, end};
+            m_script.readsBody = true;
+            expectFailure(bytes, call(unsafePath));
+            if (bytes.find("Content-Length: 2\r\n") == std::string::npos) {
+                break; // Without a length only the end of the connection ends the answer.
+            }
+        }
+    }
+
 public:
     void setUp() override
     {
--- a/tests/caller_fixture.h
+++ b/tests/caller_fixture.h
@@ -6,6 +6,7 @@
 #include "fake_engine.h"
 #include "fake_service.h"
 #include "raw_caller.h"
+#include "scripted_server.h"
 
 #include <unistd.h>
 
@@ -13,19 +14,30 @@
 class CallerFixture
 {
 public:
+    enum class Backend {
+        Fake,
+        Scripted, ///< Both agents have the scripted server as their backend server.
+    };
+
     static constexpr const char *peerKey = "k:00112233445566778899aabbccddeeff";
 
     asio::io_context io;
     turmericline::fakes::FakeConfig config{io};
     turmericline::fakes::FakeEngine engine{io, engineConfig()};
     turmericline::fakes::FakeService service{io, {}};
-    ChildProcess modelAgent{io, "turmericline-agent", agentArguments(serverName("m"), engine.url())};
-    ChildProcess serviceAgent{io, "turmericline-agent", agentArguments(serverName("s"), service.url())};
+    ServerScript script{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ServerEnd::Close, {}, true};
+    ScriptedServer scripted{io, [this](const std::string &) {
+                                return script;
+                            }};
+    ChildProcess modelAgent;
+    ChildProcess serviceAgent;
     ChildProcess entry;
 
     /** Starts the processes and waits until they serve requests; @p flags are passed to the entry. */
-    explicit CallerFixture(std::vector<std::string> flags, bool isTls = false)
-        : entry(io, "turmericline-entry", entryArguments(std::move(flags)))
+    explicit CallerFixture(std::vector<std::string> flags, bool isTls = false, Backend backend = Backend::Fake)
+        : modelAgent(io, "turmericline-agent", agentArguments(serverName("m"), urlOf(backend, engine)))
+        , serviceAgent(io, "turmericline-agent", agentArguments(serverName("s"), urlOf(backend, service)))
+        , entry(io, "turmericline-entry", entryArguments(std::move(flags)))
     {
         const auto text = document().dump();
         for (const auto &it : turmericline::parseDocument(text).errors) {
@@ -90,6 +102,12 @@
         return config;
     }
 
+    template<typename Fake>
+    std::string urlOf(Backend backend, const Fake &fake) const
+    {
+        return backend == Backend::Fake ? fake.url() : "http://127.0.0.1:" + std::to_string(scripted.port());
+    }
+
     std::vector<std::string> agentArguments(const std::string &server, const std::string &backend) const
     {
         // The default of --backend-silence-ms would end the stalled requests of some tests.
--- a/tests/unit_http_decoder_test.cpp
+++ b/tests/unit_http_decoder_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(rejectsConflictingLengths);
     CPPUNIT_TEST(limitsHeadAndBody);
     CPPUNIT_TEST(resetDiscardsPreviousMessage);
+    CPPUNIT_TEST(rejectsOddStatusLineAtAnySplit);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view chunked
@@ -109,6 +110,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/b"), decoder.head().target);
         CPPUNIT_ASSERT(!decoder.head().header("A"));
     }
+
+    /** The status line comes in any pieces; http_parser takes each of the odd ones. */
+    void rejectsOddStatusLineAtAnySplit()
+    {
+        const auto faultOf = [](const std::string &text) {
+            HttpDecoder decoder(HttpDecoder::Kind::Response);
+            for (const char c : text) {
+                decoder.feed(std::string_view(&c, 1));
+            }
+            return decoder.fault();
+        };
+        for (const std::string line : {"HTTP/1.1 000 X", "HTTP/1.1 0200 OK", "HTTP/1.1 600 X", "HTTP/2.0 200 OK"}) {
+            CPPUNIT_ASSERT_MESSAGE(line, faultOf(line + "\r\n\r\n") == HttpFault::Syntax);
+        }
+        for (const std::string line : {"HTTP/1.0 200", "HTTP/1.1 599 ", "\r\nHTTP/1.1 100 \xff\t"}) {
+            CPPUNIT_ASSERT_MESSAGE(line, faultOf(line + "\r\n\r\n") == HttpFault::None);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpDecoderTest);
