Reject heads with field names outside the protocol

Found beside it: a CR at the start of a line ended the head, so that the rest of the head came as the body of a whole 200, 32 bytes instead of 2.

Cause: http_parser, as Debian builds it, takes blanks in names, takes such a name for Content-Length or Transfer-Encoding all the same, and does not check the byte after a CR that starts a line.

Change: HeadSyntax follows the lines of the head: a name is a token directly before its colon, CR stands only before LF, and a line that begins with a blank continues a value before it. HttpDecoder applies it to requests as well, since a server could read such a field of a request in another way than the gateway; they get 400.

--- a/src/head_syntax.h
+++ b/src/head_syntax.h
@@ -8,6 +8,8 @@
 /**
  * Checks what http_parser and libcurl let pass in the head of an HTTP/1 message. A status line has a version 1.x and a
  * status of three digits from 100 to 599 (RFC 9112 section 4, RFC 9110 section 15), but not 101, which is never asked for.
+ * The name of a field is a token, directly before the colon (RFC 9112 section 5). A line ends with LF or CR LF, and CR
+ * stands nowhere else.
  */
 class HeadSyntax
 {
@@ -25,16 +27,26 @@
 private:
     enum class State {
         Start, ///< Empty lines before the message are skipped.
+        RequestLine, ///< Its syntax is left to the parser.
         StatusLine,
+        LineStart,
+        Name,
+        Value,
         Ended,
     };
 
     bool checkByte(char c);
+    bool isStatusCut() const;
     bool checkStatusByte(char c);
+    bool checkLineStart(char c);
+    bool checkName(char c);
 
-    State m_state;
+    Kind m_kind;
+    State m_state = State::Start;
     std::size_t m_position = 0; ///< In the status line.
     int m_status = 0;
+    bool m_hasField = false;
+    bool m_isAfterCr = false;
 };
 
 } // namespace turmericline
--- a/tests/unit_http_decoder_test.cpp
+++ b/tests/unit_http_decoder_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(limitsHeadAndBody);
     CPPUNIT_TEST(resetDiscardsPreviousMessage);
     CPPUNIT_TEST(rejectsOddStatusLineAtAnySplit);
+    CPPUNIT_TEST(rejectsOddNameInRequest);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::string_view chunked
@@ -128,6 +129,16 @@
             CPPUNIT_ASSERT_MESSAGE(line, faultOf(line + "\r\n\r\n") == HttpFault::None);
         }
     }
+
+    /** Request smuggling: a server may read such a field in another way than the gateway. */
+    void rejectsOddNameInRequest()
+    {
+        for (const std::string line : {"Content-Length : 3", " A: b", "A B: c", "A\t: b", "\r: b", "\rA: b"}) {
+            HttpDecoder decoder(HttpDecoder::Kind::Request);
+            decoder.feed("POST / HTTP/1.1\r\n" + line + "\r\nHost: h\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(line, decoder.fault() == HttpFault::Syntax);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpDecoderTest);
