Reject answers with a transfer coding that the gateway cannot decode

Seen by callers (process.broken_head, not reported): with 'Transfer-Encoding: gzip' the coded bytes came as the body of a whole 200, without the field that names the coding; 'chunked, gzip' gave the chunks with their sizes.

Cause: http_parser decodes chunks only, leaves any other coding in the body, and the gateway drops the field, as it must.

Change: an answer has the coding 'chunked' once, or none; others are malformed, and the caller gets 502.

Evidence: unknownCodingIsNoAnswer failed on the program before (whole 200 of 15 bytes for 'gzip') and passes now.

--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -1,6 +1,7 @@
 #include "http_decoder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -13,6 +14,27 @@
     return kind == HttpDecoder::Kind::Request ? HeadSyntax::Kind::Request : HeadSyntax::Kind::Response;
 }
 
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto begin = std::min(text.find_first_not_of(blanks), text.size());
+    return text.substr(begin, text.find_last_not_of(blanks) + 1 - begin);
+}
+
+/** Whether the body can be decoded: the parser decodes chunks only, and leaves other transfer codings in the body. */
+bool hasKnownCoding(const HttpHeaders &headers)
+{
+    const auto isCoding = [](const auto &it) {
+        return equalsIgnoringCase(it.first, "Transfer-Encoding");
+    };
+    const auto isChunked = [](const auto &it) {
+        return equalsIgnoringCase(trim(it.second), "chunked");
+    };
+    const auto first = std::find_if(headers.begin(), headers.end(), isCoding);
+    return first == headers.end()
+           || (isChunked(*first) && std::find_if(std::next(first), headers.end(), isCoding) == headers.end());
+}
+
 } // namespace
 
 /** C callbacks of http_parser; a result other than 0 stops the parser. */
@@ -63,6 +85,10 @@
             it.m_head.method = http_method_str(static_cast<http_method>(parser->method));
         } else {
             it.m_head.status = parser->status_code;
+            if (!hasKnownCoding(it.m_head.headers)) {
+                it.m_fault = HttpFault::Syntax;
+                return -1;
+            }
         }
         if (parser->content_length != std::numeric_limits<std::uint64_t>::max()) {
             it.m_head.contentLength = parser->content_length;
--- a/tests/process_broken_head_test.cpp
+++ b/tests/process_broken_head_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(BrokenHeadTest);
     CPPUNIT_TEST(byteOutsideNamesIsNoAnswer);
     CPPUNIT_TEST(lengthWithBlankDoesNotCutBody);
+    CPPUNIT_TEST(unknownCodingIsNoAnswer);
     CPPUNIT_TEST(soundOddAnswersArePassedOn);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,15 @@
         }
     }
 
+    /** The gateway cannot decode it, and would pass the coded bytes on as the server's body. */
+    void unknownCodingIsNoAnswer()
+    {
+        for (const std::string coding :
+             {"gzip", "xchunked", "gzip, chunked", "chunked, gzip", "chunked\r\nTransfer-Encoding: chunked"}) {
+            expectBroken(head("Transfer-Encoding: " + coding + "\r\n") + "5\r\nabcde\r\n0\r\n\r\n");
+        }
+    }
+
     void soundOddAnswersArePassedOn()
     {
         const std::string signature = "Replica-Signature: s\r\n";
