End answers with 204 and 304 at their heads

Seen by callers (process.broken_status, not reported): a 304 that states the length of the body that it leaves out, or a 204 with one, ended with 504 at the deadline, since the gateway waited for a body. If the server sent one with a 204, it was passed on, and the caller would take it for the begin of the next answer.

Cause: http_parser reads a body by the fields, whatever the status is.

--- a/src/http_decoder.cpp
+++ b/src/http_decoder.cpp
@@ -78,6 +78,7 @@
 
     static int onHead(http_parser *parser)
     {
+        constexpr int skipBody = 1; // Has the parser end the message here.
         auto &it = self(parser);
         it.m_hasHead = true;
         it.m_head.isKeptAlive = http_should_keep_alive(parser) != 0;
@@ -89,6 +90,9 @@
                 it.m_fault = HttpFault::Syntax;
                 return -1;
             }
+            if (it.m_head.status == HTTP_STATUS_NO_CONTENT || it.m_head.status == HTTP_STATUS_NOT_MODIFIED) {
+                return skipBody;
+            }
         }
         if (parser->content_length != std::numeric_limits<std::uint64_t>::max()) {
             it.m_head.contentLength = parser->content_length;
--- a/tests/process_broken_status_test.cpp
+++ b/tests/process_broken_status_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(BrokenStatusTest);
     CPPUNIT_TEST(statusOutsideProtocolIsNoAnswer);
     CPPUNIT_TEST(anyStatusInsideProtocolIsPassedOn);
+    CPPUNIT_TEST(answerWithoutBodyEndsWithItsHead);
     CPPUNIT_TEST_SUITE_END();
 
     std::mt19937_64 m_random{envNumber("HEAD_SEED", 20261207)};
@@ -72,6 +73,20 @@
             expectWhole(std::to_string(status), call(unsafePath), hasBody ? "ab" : "", status);
         }
     }
+
+    /** RFC 9112 section 6.3: such an answer has no body, whatever its fields say; a 304 may state the length of another. */
+    void answerWithoutBodyEndsWithItsHead()
+    {
+        for (const auto status : {204, 304}) {
+            for (const std::string fields : {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+                for (const std::string more : {"", "ab", "2\r\nab\r\n0\r\n\r\n"}) {
+                    m_script = {head(fields, fmt::format("HTTP/1.1 {} Text", status)) + more, ServerEnd::Keep};
+                    m_script.readsBody = true;
+                    expectWhole(fmt::format("{} {} {}", status, fields, more), call(unsafePath), "", status);
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenStatusTest);
