Do not answer 503 at the entry for a request that may have run

Seen by callers of the own fleet: a call that must not run twice, whose server broke off its answer, got 503 with the verdict may-have-run. Callers may take 503 for a promise that the request has not run.

Cause: the entry answered 503 whenever an attempt had no answer, whatever its verdict.

Change: 502 if the verdict is may-have-run, 503 if it is not-run; also for calls with a key. Verdicts and bodies are as before.

Evidence: process.broken_backend goes over answers that are cut at any byte of the body, or reset before and after an upload of 4.1 MB; on the program before, each of its cases got 503 with may-have-run. Both cases pass with this change.

--- a/src/entry_call.cpp
+++ b/src/entry_call.cpp
@@ -391,7 +391,7 @@
         retryAfterDelay(decision.delay);
         return;
     }
-    giveUp({503, "unavailable", reason, overall, retryAfter()});
+    giveUp(unavailable(reason, overall));
 }
 
 void EntryCall::retryAfterDelay(std::chrono::milliseconds delay)
@@ -408,7 +408,7 @@
 {
     const auto verdict
         = m_mayHaveReachedServer ? Verdict::MayHaveRun : refusalVerdict(m_request.isIdempotent, !m_request.key.empty());
-    giveUp({503, "unavailable", "no backend server of the service can take the request now", verdict, retryAfter()});
+    giveUp(unavailable("no backend server of the service can take the request now", verdict));
 }
 
 void EntryCall::onDeadline()
@@ -474,6 +474,12 @@
     close(verdict, 200, reason);
 }
 
+/** Callers may take 503 for a promise that the request has not run. */
+Refusal EntryCall::unavailable(const std::string &reason, Verdict verdict) const
+{
+    return {verdict == Verdict::NotRun ? 503 : 502, "unavailable", reason, verdict, retryAfter()};
+}
+
 void EntryCall::giveUp(const Refusal &refusal)
 {
     if (m_isDone) {
--- a/src/entry_call.h
+++ b/src/entry_call.h
@@ -93,6 +93,7 @@
 
     void answer();
     void finishStream(bool complete, Verdict verdict, const std::string &reason);
+    Refusal unavailable(const std::string &reason, Verdict verdict) const;
     void giveUp(const Refusal &refusal);
     void close(Verdict verdict, int status, const std::string &reason);
 
--- a/src/entry_keyed.cpp
+++ b/src/entry_keyed.cpp
@@ -56,7 +56,7 @@
             m_refusal->verdict = step.verdict;
             giveUp(*m_refusal);
         } else {
-            giveUp({503, "unavailable", step.reason, step.verdict, retryAfter()});
+            giveUp(unavailable(step.reason, step.verdict));
         }
         return;
     }
