Check the heads that libcurl reads as strictly as those of the gateway

Cause: libcurl reports a head that is cut by the end of the connection as a complete response, takes any name, and the client took the first three characters of the status.

Change: HttpClient applies HeadSyntax line by line, and a response is complete only if its head was. Folded values are joined, blanks around values are left out, and trailer fields are ignored. This is the client of agents (their servers), of entries and agents (the configuration service and the instance list), and of the tools.

Evidence: process.broken_backend cuts the head at any byte, and sends odd statuses and names. On the program before, headCutAtAnyByteIsNoAnswer, statusOutsideProtocolIsNoAnswer and byteOutsideNamesIsNoAnswer failed; all pass now. Sound odd answers are passed on whole, also an early one during an upload.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,10 +1,13 @@
 #include "http_client.h"
 
+#include "head_syntax.h"
+
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 #include <unordered_map>
@@ -46,6 +49,8 @@
     std::unique_ptr<CURL, EasyDeleter> easy;
     std::unique_ptr<curl_slist, ListDeleter> headerList;
     HttpHeaders responseHeaders;
+    HeadSyntax syntax{HeadSyntax::Kind::Response};
+    bool isMalformed = false;
     int status = 0;
     bool headReported = false;
     bool cancelled = false; ///< No handler is called any more.
@@ -62,30 +67,54 @@
     }
 }
 
+/** Adds a line of the head that is neither a status line nor empty. */
+void addField(HttpHeaders &headers, std::string_view line)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto trimmed = [blanks](std::string_view text) {
+        text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+        return text.substr(0, text.find_last_not_of(blanks) + 1);
+    };
+    if (line.starts_with(' ') || line.starts_with('\t')) {
+        headers.back().second.append(" ").append(trimmed(line));
+        return;
+    }
+    const auto colon = line.find(':');
+    headers.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+}
+
+/** libcurl passes one line at a time, and the trailer fields of a chunked body as well; these are ignored. */
 std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *user)
 {
+    constexpr std::size_t rejected = 0; // libcurl ends the transfer if not all bytes are accepted.
+    constexpr std::size_t statusAt = std::string_view("HTTP/1.1 ").size();
+    constexpr std::size_t statusDigits = 3;
+    constexpr int firstFinalStatus = 200;
     auto &transfer = *static_cast<Transfer *>(user);
     std::string_view line(data, size * count);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-        line.remove_suffix(1);
+    if (transfer.headReported) {
+        return line.size();
     }
     if (line.starts_with("HTTP/")) {
         // Each status line starts a new head; an interim response such as "100 Continue" comes before the final one.
         transfer.responseHeaders.clear();
-        const auto space = line.find(' ');
-        if (space != std::string_view::npos && line.size() >= space + 4) {
-            std::from_chars(line.data() + space + 1, line.data() + space + 4, transfer.status);
-        }
-    } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-        auto value = line.substr(colon + 1);
-        while (!value.empty() && value.front() == ' ') {
-            value.remove_prefix(1);
-        }
-        transfer.responseHeaders.emplace_back(line.substr(0, colon), value);
-    } else if (line.empty() && transfer.status >= 200) {
+        transfer.syntax = HeadSyntax(HeadSyntax::Kind::Response);
+        transfer.status = 0;
+    }
+    if (!transfer.syntax.check(line)) {
+        transfer.isMalformed = true;
+        return rejected;
+    }
+    const auto bytes = line.size();
+    line = line.substr(0, line.find_last_not_of("\r\n") + 1);
+    if (transfer.status == 0 && line.size() >= statusAt + statusDigits) {
+        std::from_chars(line.data() + statusAt, line.data() + statusAt + statusDigits, transfer.status);
+    } else if (!line.empty()) {
+        addField(transfer.responseHeaders, line);
+    } else if (transfer.status >= firstFinalStatus) {
         reportHead(transfer);
     }
-    return size * count;
+    return bytes;
 }
 
 std::size_t onBodyChunk(char *data, std::size_t size, std::size_t count, void *user)
@@ -311,11 +340,16 @@
             curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &transfer);
             const CURLcode code = msg->data.result;
             HttpClientResult result;
-            result.complete = code == CURLE_OK;
+            // libcurl takes a head that is cut by the end of the connection for a complete response without a body.
+            result.complete = code == CURLE_OK && transfer->headReported;
             result.status = transfer->status;
             result.sent = code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST;
-            if (code != CURLE_OK) {
+            if (transfer->isMalformed) {
+                result.error = "the head of the answer is malformed";
+            } else if (code != CURLE_OK) {
                 result.error = curl_easy_strerror(code);
+            } else if (!result.complete) {
+                result.error = "the head of the answer was cut off";
             }
             const auto owned = std::move(m_transfers.at(transfer->id));
             m_transfers.erase(transfer->id);
--- a/tests/process_broken_backend_test.cpp
+++ b/tests/process_broken_backend_test.cpp
@@ -17,8 +17,12 @@
 class BrokenBackendTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(BrokenBackendTest);
+    CPPUNIT_TEST(headCutAtAnyByteIsNoAnswer);
     CPPUNIT_TEST(bodyCutAtAnyByteIsNoAnswer);
+    CPPUNIT_TEST(statusOutsideProtocolIsNoAnswer);
+    CPPUNIT_TEST(byteOutsideNamesIsNoAnswer);
     CPPUNIT_TEST(resetIsNoEnd);
+    CPPUNIT_TEST(soundOddAnswersArePassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Fixture> m_fleet;
