Limit the header lines that libcurl keeps for one transfer

Cause: libcurl limits the head of a response, but keeps all trailer fields without a limit.

Change: HttpClient ends a transfer after 256 KiB of header lines: heads, interim ones as well, and trailers.

The cases of process.broken_backend now run many at a time, as one after the other they took 259 s, most of it waiting for the entry to try the server again; each is judged as before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/** libcurl keeps all header lines of a transfer, and has no limit for trailer fields. */
+constexpr std::size_t maxHeadBytes = 256U << 10U;
+
 struct EasyDeleter
 {
     void operator()(CURL *easy) const
@@ -50,6 +53,7 @@
     std::unique_ptr<curl_slist, ListDeleter> headerList;
     HttpHeaders responseHeaders;
     HeadSyntax syntax{HeadSyntax::Kind::Response};
+    std::size_t headBytes = 0; ///< Of all heads, interim ones as well, and of the trailer fields.
     bool isMalformed = false;
     int status = 0;
     bool headReported = false;
@@ -92,6 +96,11 @@
     constexpr int firstFinalStatus = 200;
     auto &transfer = *static_cast<Transfer *>(user);
     std::string_view line(data, size * count);
+    transfer.headBytes += line.size();
+    if (transfer.headBytes > maxHeadBytes) {
+        transfer.isMalformed = true;
+        return rejected;
+    }
     if (transfer.headReported) {
         return line.size();
     }
--- a/tests/caller_fixture.h
+++ b/tests/caller_fixture.h
@@ -8,7 +8,9 @@
 #include "raw_caller.h"
 #include "scripted_server.h"
 
+#include <set>
 #include <unistd.h>
+#include <vector>
 
 /** Runs one real entry, and one agent each for a fake engine and a fake plain service. */
 class CallerFixture
@@ -26,8 +28,10 @@
     turmericline::fakes::FakeEngine engine{io, engineConfig()};
     turmericline::fakes::FakeService service{io, {}};
     ServerScript script{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ServerEnd::Close, {}, true};
-    ScriptedServer scripted{io, [this](const std::string &) {
-                                return script;
+    std::vector<ServerScript> caseScripts; ///< For requests whose path ends in "/case/N".
+    std::set<std::size_t> reachedCases;
+    ScriptedServer scripted{io, [this](const std::string &head) {
+                                return chooseScript(head);
                             }};
     ChildProcess modelAgent;
     ChildProcess serviceAgent;
@@ -102,6 +106,18 @@
         return config;
     }
 
+    ServerScript chooseScript(const std::string &head)
+    {
+        constexpr std::string_view marker = "/case/";
+        const auto at = head.find(marker);
+        if (at == std::string::npos) {
+            return script;
+        }
+        const auto n = std::stoul(head.substr(at + marker.size()));
+        reachedCases.insert(n);
+        return caseScripts.at(n);
+    }
+
     template<typename Fake>
     std::string urlOf(Backend backend, const Fake &fake) const
     {
--- a/tests/process_broken_backend_test.cpp
+++ b/tests/process_broken_backend_test.cpp
@@ -26,27 +26,45 @@
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Fixture> m_fleet;
+    std::vector<ServerScript> m_broken;
     std::mt19937_64 m_random{envNumber("HEAD_SEED", 20261207)};
 
-    ClientAnswer ask(const std::string &bytes)
+    /** Sends a call that must not run twice until it has reached the server, which the entry avoids after a failure. */
+    ClientAnswer call(std::size_t bodyBytes = 2)
     {
-        RawCaller caller(m_fleet->io, m_fleet->entry.port());
-        caller.send(bytes);
-        return readClientAnswer(caller.rest());
+        m_fleet->caseScripts = {m_fleet->script};
+        return callAll(bodyBytes).front();
     }
 
-    /** Sends a call that must not run twice until it has reached the server, which the entry avoids after a failure. */
-    ClientAnswer call(std::size_t bodyBytes = 2)
+    /** As call(), one for each of the case scripts, many at the same time. */
+    std::vector<ClientAnswer> callAll(std::size_t bodyBytes = 2)
     {
-        for (;;) {
-            const auto before = m_fleet->scripted.requestCount();
-            const auto got = ask(
-                Fixture::request("POST /services/confirm/x", "Connection: close\r\n", std::string(bodyBytes, 'u')));
-            if (m_fleet->scripted.requestCount() > before) {
-                return got;
+        constexpr std::size_t atOnce = 128;
+        for (auto &it : m_fleet->caseScripts) {
+            it.delay = std::chrono::milliseconds(200); // Until the entry has passed all on, before the first one fails.
+        }
+        const auto count = m_fleet->caseScripts.size();
+        std::vector<ClientAnswer> answers(count);
+        m_fleet->reachedCases.clear();
+        while (m_fleet->reachedCases.size() < count) {
+            std::vector<std::pair<std::size_t, std::unique_ptr<RawCaller>>> callers;
+            for (std::size_t n = 0; n < count && callers.size() < atOnce; ++n) {
+                if (!m_fleet->reachedCases.contains(n)) {
+                    callers.emplace_back(n, std::make_unique<RawCaller>(m_fleet->io, m_fleet->entry.port()));
+                    callers.back().second->send(Fixture::request(fmt::format("POST /services/confirm/case/{}", n),
+                                                                 "Connection: close\r\nX-Deadline-Ms: 10000\r\n",
+                                                                 std::string(bodyBytes, 'u')));
+                }
+            }
+            for (const auto &[n, caller] : callers) {
+                answers[n] = readClientAnswer(caller->rest());
+                if (!m_fleet->reachedCases.contains(n)) {
+                    const auto &answer = answers[n].answer;
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.head, std::string("not-run"), answer.header("X-Verdict"));
+                }
             }
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.answer.head, std::string("not-run"), got.answer.header("X-Verdict"));
         }
+        return answers;
     }
 
     static std::string head(const std::string &fields, const std::string &status = "HTTP/1.1 200 OK")
@@ -62,10 +80,18 @@
         CPPUNIT_ASSERT_MESSAGE(text, got.answer.status == 502 || got.answer.status == 504);
     }
 
-    void expectBroken(const std::string &bytes, ServerEnd end = ServerEnd::HalfClose)
+    void addBroken(const std::string &bytes, ServerEnd end = ServerEnd::HalfClose)
     {
-        m_fleet->script = {bytes, end, {}, true};
-        expectFailure(bytes, call());
+        m_broken.push_back({bytes, end, {}, true});
+    }
+
+    void expectAllBroken()
+    {
+        m_fleet->caseScripts = m_broken;
+        const auto answers = callAll();
+        for (std::size_t n = 0; n < answers.size(); ++n) {
+            expectFailure(m_broken[n].bytes, answers[n]);
+        }
     }
 
     void expectWhole(const std::string &bytes, const std::string &body)
@@ -94,9 +120,10 @@
         const auto text = head("Content-Length: 0\r\n");
         for (const auto end : {ServerEnd::Close, ServerEnd::Reset}) {
             for (std::size_t n = 0; n < text.size(); ++n) {
-                expectBroken(text.substr(0, n), end);
+                addBroken(text.substr(0, n), end);
             }
         }
+        expectAllBroken();
     }
 
     void bodyCutAtAnyByteIsNoAnswer()
@@ -107,9 +134,10 @@
             // libcurl takes the last CR for the end; the body is whole by then.
             const std::size_t end = text.size() - (text.ends_with('\n') ? 1 : 0);
             for (std::size_t n = 0; n < end; ++n) {
-                expectBroken(head(fields) + text.substr(0, n), ServerEnd::Close);
+                addBroken(head(fields) + text.substr(0, n), ServerEnd::Close);
             }
         }
+        expectAllBroken();
     }
 
     void statusOutsideProtocolIsNoAnswer()
@@ -120,31 +148,33 @@
             codes.push_back(fmt::format("{:03}", m_random() % 2 == 0 ? m_random() % 100 : 600 + m_random() % 400));
         }
         for (const auto &code : codes) {
-            expectBroken(head("Content-Length: 2\r\n", "HTTP/1.1 " + code + " OK") + "ab");
+            addBroken(head("Content-Length: 2\r\n", "HTTP/1.1 " + code + " OK") + "ab");
         }
         for (const std::string version : {"HTTP/2.0", "HTTP/2", "HTTP/0.9", "ICY"}) {
-            expectBroken(head("Content-Length: 2\r\n", version + " 200 OK") + "ab");
+            addBroken(head("Content-Length: 2\r\n", version + " 200 OK") + "ab");
         }
+        expectAllBroken();
     }
 
     void byteOutsideNamesIsNoAnswer()
     {
         const std::string_view other = "\"(),/;<=>?@[\\]{}\t\r \x01\x1f\x7f\x80\xff";
         for (const char c : std::string(1, '\0') + std::string(other)) {
-            expectBroken(head(std::string("Fi") + c + "eld: v\r\nContent-Length: 2\r\n") + "ab");
-            expectBroken(head(std::string("Field") + c + ": v\r\nContent-Length: 2\r\n") + "ab");
+            addBroken(head(std::string("Fi") + c + "eld: v\r\nContent-Length: 2\r\n") + "ab");
+            addBroken(head(std::string("Field") + c + ": v\r\nContent-Length: 2\r\n") + "ab");
         }
         for (const std::string line : {": v\r\n", "Field\r\n", "Content-Length : 2\r\n"}) {
-            expectBroken(head(line) + "abcdef");
+            addBroken(head(line) + "abcdef");
         }
+        expectAllBroken();
     }
 
     void resetIsNoEnd()
     {
         for (const bool readsBody : {true, false}) {
-            for (int n = 0; n < 10; ++n) {
-                m_fleet->script = {head({}) + std::string(3'000, 'x'), ServerEnd::Reset, {}, readsBody};
-                expectFailure("reset", call(readsBody ? 2 : 4'100'000));
+            m_fleet->caseScripts.assign(10, {head({}) + std::string(3'000, 'x'), ServerEnd::Reset, {}, readsBody});
+            for (const auto &it : callAll(readsBody ? 2 : 4'100'000)) {
+                expectFailure("reset", it);
             }
         }
     }
@@ -162,17 +192,12 @@
             {head("Transfer-Encoding: chunked\r\n") + "1;", "x"},
             {head("Transfer-Encoding: chunked\r\n") + "0\r\n", "X: y\r\n"},
         };
+        m_fleet->caseScripts.clear();
         for (const auto &[start, rest] : answers) {
-            m_fleet->script = {start, ServerEnd::Repeat, rest, true};
-            for (;;) {
-                const auto before = m_fleet->scripted.requestCount();
-                const auto got = ask(
-                    Fixture::request("POST /services/confirm/x", "Connection: close\r\nX-Deadline-Ms: 3000\r\n", "{}"));
-                if (m_fleet->scripted.requestCount() > before) {
-                    expectFailure(start + rest, got);
-                    break;
-                }
-            }
+            m_fleet->caseScripts.push_back({start, ServerEnd::Repeat, rest, true});
+        }
+        for (const auto &it : callAll()) {
+            expectFailure("endless", it);
         }
         while (m_fleet->scripted.openCount() > 0) {
             m_fleet->io.run_one();
