Join small chunks of a body that waits to be sent over HTTP/2

Cause: the agent counts the bytes that wait for the entry, 4 MiB at most, but each chunk waited as a string of its own, which takes more than 32 bytes.

Change: a chunk is joined to the one before while both have at most 4 KiB.

--- a/src/h2_connection.cpp
+++ b/src/h2_connection.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t maxConcurrentStreams = 4096;
 constexpr std::uint32_t maxHeaderListBytes = 64 * 1024;
 constexpr std::size_t frameHeaderBytes = 9;
+/** Small chunks are joined, since each one that waits takes more memory than its bytes. */
+constexpr std::size_t maxJoinedBytes = 4U << 10U;
 /** Larger write buffers are freed after use, or each connection would keep one of the size of a whole document. */
 constexpr std::size_t maxKeptBufferBytes = 16U << 10U;
 
@@ -234,7 +236,11 @@
     }
     auto &body = m_outgoing[stream];
     body.pendingBytes += chunk.size();
-    body.chunks.push_back(std::move(chunk));
+    if (!body.chunks.empty() && body.chunks.back().size() + chunk.size() <= maxJoinedBytes) {
+        body.chunks.back().append(chunk);
+    } else {
+        body.chunks.push_back(std::move(chunk));
+    }
     nghttp2_session_resume_data(session(), stream);
     scheduleFlush();
 }
--- a/tests/process_broken_backend_test.cpp
+++ b/tests/process_broken_backend_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(statusOutsideProtocolIsNoAnswer);
     CPPUNIT_TEST(byteOutsideNamesIsNoAnswer);
     CPPUNIT_TEST(resetIsNoEnd);
+    CPPUNIT_TEST(endlessBytesTakeBoundedMemory);
     CPPUNIT_TEST(soundOddAnswersArePassedOn);
     CPPUNIT_TEST_SUITE_END();
 
