Refuse requests at the entry that could be cut at the end of its shutdown

Cause: an entry that drains takes every request, whatever time is left until its own time limit.

Change: it refuses a request with 503 and not-run, or may-have-run if it has a key, if its deadline is after that limit.

--- a/src/drain.h
+++ b/src/drain.h
@@ -41,6 +41,11 @@
     {
         return m_phase;
     }
+    /** Whether the shutdown has begun, and its time limit is before @p time. */
+    bool isOverBefore(std::chrono::steady_clock::time_point time) const
+    {
+        return m_phase != DrainPhase::Serving && m_started + m_config.deadline < time;
+    }
     /** Starts the shutdown, as the first signal does. */
     void begin();
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -185,6 +185,16 @@
                      std::chrono::seconds(1)});
         return;
     }
+    if (m_drain.isOverBefore(std::chrono::steady_clock::now() + request.budget)) {
+        // It could be cut at the time limit of the shutdown.
+        sendRefusal(*responder,
+                    {503,
+                     "stopping",
+                     "this entry is stopping",
+                     refusalVerdict(request.isIdempotent, !request.key.empty()),
+                     std::chrono::seconds(1)});
+        return;
+    }
     auto call = std::make_shared<EntryCall>(m_context, std::move(request), responder);
     m_calls.emplace(call.get(), call);
     m_callByConnection[connection] = call;
--- a/tests/process_broken_backend_test.cpp
+++ b/tests/process_broken_backend_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(resetIsNoEnd);
     CPPUNIT_TEST(endlessBytesTakeBoundedMemory);
     CPPUNIT_TEST(soundOddAnswersArePassedOn);
+    CPPUNIT_TEST(lateRequestsAreAnsweredOrRefused);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Fixture> m_fleet;
