Refuse requests that could be cut at the end of a planned stop, and answer the last ones

Cause: a gateway that drains took requests by their arrival alone, up to 2.9 s after SIGTERM, whatever their deadline and the grace time were. At the end it closed the connections of all that were in flight.

Change: while it drains, a gateway refuses a request whose time ends after the gateway's; it has not run, and Retry-After is 50 ms as before. Requests in flight at the end, which came before the stop, get 502 (504, 503 if they were not sent), and 250 ms to be written; only an answer that has begun is cut.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -557,6 +557,21 @@
     return actions;
 }
 
+ExchangeActions Exchange::onStop(TimePoint now)
+{
+    ExchangeActions actions;
+    if (m_isEnded) {
+        return actions;
+    }
+    m_awaitedServer.reset();
+    if (m_server) {
+        abandonAttempt(now, "the instance is stopping", actions);
+    }
+    m_summary.reason = "the instance is stopping";
+    giveUp(now, actions);
+    return actions;
+}
+
 void Exchange::finish(ExchangeActions &actions, ExchangeAction last)
 {
     m_isEnded = true;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -58,6 +58,8 @@
     ExchangeActions onFailure(TimePoint now, const AttemptFailure &failure);
     ExchangeActions onTick(TimePoint now);
     ExchangeActions onCallerDisconnect(TimePoint now);
+    /** The process is about to exit: ends the request with what is true of it. */
+    ExchangeActions onStop(TimePoint now);
     /** Called if the server is not read for a time, as its caller reads slowly. */
     void onReadingPaused();
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -22,8 +22,10 @@
 /** Period of the timeout checks of all connections and calls: a tenth of the shortest timeout. */
 constexpr std::chrono::milliseconds tickPeriod{50};
 constexpr std::chrono::milliseconds settingsCheckPeriod{1'000};
-/** The process exits this long before the end of the grace period, so that the last bytes can still be sent. */
+/** The requests in flight are ended this long before the end of the grace period. */
 constexpr std::chrono::milliseconds exitMargin{500};
+/** Time for their last bytes to be sent, until the process exits. */
+constexpr std::chrono::milliseconds lastWriteTime{250};
 /**
  * Requests that were in transit are still accepted for this long after the rotation time. Later ones are refused, since
  * they might not complete within the grace period.
@@ -32,6 +34,13 @@
 /** Retry-After while draining; short, because another instance can take the request at once. */
 constexpr std::chrono::milliseconds drainRetryAfter{50};
 
+/** When the request has been answered at the latest. */
+TimePoint latestAnswerAt(const ExchangeRequest &request)
+{
+    const auto timeout = request.rule->timeout;
+    return request.arrived + std::min(timeout, request.caller.deadline.value_or(timeout));
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -220,6 +229,10 @@
         return;
     }
     auto &request = std::get<ExchangeRequest>(routed);
+    if (m_drainingSince && latestAnswerAt(request) > stopAt()) {
+        refuse(*connection, caller, {503, "the instance is stopping", drainRetryAfter});
+        return;
+    }
     request.servers = serverBasis();
     auto call = std::make_shared<GatewayCall>(std::move(request),
                                               ExchangeContext{m_backends,
@@ -470,17 +483,29 @@
     logEvent(LogLevel::Info, "settings reloaded", {{"store", m_settings.store}});
 }
 
+TimePoint Gateway::stopAt() const
+{
+    return *m_drainingSince + m_settings.grace - exitMargin;
+}
+
 void Gateway::advanceDrain(TimePoint now)
 {
-    const auto age = now - *m_drainingSince;
-    if (age < m_settings.rotation) {
+    const bool isOver = now >= stopAt();
+    if (now - *m_drainingSince < m_settings.rotation && !isOver) {
         return;
     }
+    if (isOver) {
+        const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
+        m_cutRequestCount += calls.size();
+        for (const auto &it : calls) {
+            it->stop(now);
+        }
+    }
     for (const auto &it : m_callers.all()) {
         it->drain(true);
     }
-    if ((m_callers.all().empty() && m_calls.empty()) || age > m_settings.grace - exitMargin) {
-        logEvent(LogLevel::Info, "stopped", {{"requests_cut", m_calls.size()}});
+    if ((m_callers.all().empty() && m_calls.empty()) || now >= stopAt() + lastWriteTime) {
+        logEvent(LogLevel::Info, "stopped", {{"requests_cut", m_cutRequestCount}});
         m_io.stop();
     }
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -62,6 +62,7 @@
     void onTerminate();
     void checkSettingsFile(TimePoint now);
     void reload();
+    TimePoint stopAt() const;
     void advanceDrain(TimePoint now);
 
     asio::io_context &m_io;
@@ -90,6 +91,7 @@
     std::unique_ptr<OpsServer> m_opsServer;
     bool m_isAccepting = false;
     std::optional<TimePoint> m_drainingSince;
+    std::size_t m_cutRequestCount = 0; ///< Requests that were in flight at the end of the grace period.
     std::function<SettingsParseResult<GatewaySettings>()> m_readSettings;
     std::filesystem::path m_settingsFile;
     std::filesystem::file_time_type m_settingsTime{};
--- a/src/gateway_call.cpp
+++ b/src/gateway_call.cpp
@@ -52,6 +52,11 @@
     perform(m_exchange.onTick(at));
 }
 
+void GatewayCall::stop(TimePoint at)
+{
+    perform(m_exchange.onStop(at));
+}
+
 void GatewayCall::perform(ExchangeActions actions)
 {
     for (auto &action : actions) {
--- a/src/gateway_call.h
+++ b/src/gateway_call.h
@@ -26,6 +26,8 @@
 
     void start(TimePoint now);
     void tick(TimePoint now);
+    /** Ends the request, since the process is about to exit. */
+    void stop(TimePoint now);
 
     const Exchange &exchange() const
     {
