Do not take a status above 599 for an answer over HTTP/2

Seen (unit.h2): an agent's answer with the status 600 or 999 is complete for the entry, which passes it on.

Cause: nghttp2 rejects statuses below 100, 101, interim ones at the end of a stream, and those without three digits, but none above 599.

Change: a response is complete only with a status from 200 to 599.

Evidence: statusOutsideProtocolIsNotComplete failed at 600 before. nameOutsideProtocolIsNotComplete shows that nghttp2 rejects odd names by itself.

--- a/src/h2_client.cpp
+++ b/src/h2_client.cpp
@@ -17,6 +17,10 @@
 
 namespace {
 
+/** Statuses of final answers, RFC 9110 section 15. */
+constexpr int minFinalStatus = 200;
+constexpr int maxFinalStatus = 599;
+
 /** State of a request from start() until it ends. */
 struct ClientStream
 {
@@ -243,11 +247,14 @@
         return;
     }
     H2Result result;
-    result.complete = stream->ended && errorCode == NGHTTP2_NO_ERROR;
+    const bool hasFinalStatus = stream->status >= minFinalStatus && stream->status <= maxFinalStatus;
+    result.complete = stream->ended && errorCode == NGHTTP2_NO_ERROR && hasFinalStatus;
     // RFC 9113 section 8.7: a refused stream, or one above the last stream id of a GOAWAY, was not processed.
     result.sent = errorCode != NGHTTP2_REFUSED_STREAM;
     result.trailers = std::move(stream->trailers);
-    if (!result.complete) {
+    if (stream->ended && !hasFinalStatus) {
+        result.error = "the status of the answer is outside the protocol";
+    } else if (!result.complete) {
         result.error = std::string("stream reset: ") + nghttp2_http2_strerror(errorCode);
     }
     m_owner->finish(m_owner->idsByHttp2Id.at(id), result);
--- a/tests/unit_h2_test.cpp
+++ b/tests/unit_h2_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(streamAfterDrainIsNotSent);
     CPPUNIT_TEST(refusedConnectionIsNotSent);
     CPPUNIT_TEST(idleConnectionIsClosed);
+    CPPUNIT_TEST(statusOutsideProtocolIsNotComplete);
+    CPPUNIT_TEST(nameOutsideProtocolIsNotComplete);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context m_io;
@@ -99,6 +101,30 @@
         CPPUNIT_ASSERT(headerValue(answer.result.trailers, "tl-verdict") == "run");
     }
 
+    void statusOutsideProtocolIsNotComplete()
+    {
+        for (const int status : {0, 20, 99, 100, 101, 199, 600, 999, 1000}) {
+            H2Server server(m_io, m_tls, "127.0.0.1", 0, [status](const std::shared_ptr<H2ServerStream> &stream) {
+                stream->reply(status, {}, "body", {{"tl-verdict", "run"}});
+            });
+            H2Client client(m_io, m_tls, addressOf(server));
+            const auto answer = call(client, {"POST", "/run", {}, "x"});
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), !answer.result.complete && answer.result.sent);
+        }
+    }
+
+    /** nghttp2 rejects these by itself. */
+    void nameOutsideProtocolIsNotComplete()
+    {
+        for (const std::string name : {"a b", " a", "a\x01", "a:"}) {
+            H2Server server(m_io, m_tls, "127.0.0.1", 0, [&name](const std::shared_ptr<H2ServerStream> &stream) {
+                stream->reply(200, {{name, "v"}}, "body");
+            });
+            H2Client client(m_io, m_tls, addressOf(server));
+            CPPUNIT_ASSERT_MESSAGE(name, !call(client, {"POST", "/run", {}, "x"}).result.complete);
+        }
+    }
+
     void largeBodyNeedsConsume()
     {
         const std::string big(3'000'000, 'b');
