Leave new connections open for their first request while a gateway drains

Cause: a gateway that drains closes all idle connections every 50 ms, also those that it has just accepted.

Change: a connection that has had no request is left open for 0.5 s.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maxPipelinedBytes = 64U << 10U;
 /** Time that a caller has to close the connection after the last response. */
 constexpr std::chrono::milliseconds lingerTimeout{1'000};
+/** While the gateway drains, a new connection is not closed for this time. */
+constexpr std::chrono::milliseconds firstRequestTime{500};
 /** The connection is closed if a complete response cannot be written within this time. */
 constexpr std::chrono::milliseconds writeTimeout{10'000};
 /** Limit of received bytes that the kernel holds for a connection that is not read. */
@@ -156,6 +158,7 @@
         return;
     }
     if (!m_decoder.hasStarted()) {
+        m_hasHadRequest = true;
         m_now = std::chrono::steady_clock::now();
         m_since = m_now;
         applyLimits();
@@ -244,11 +247,17 @@
     m_isDraining = true;
     if (m_state == State::Serving) {
         m_closesAfterResponse = true;
-    } else if (closesIdle && isIdle() && m_undecoded.empty()) {
+    } else if (closesIdle && isIdle() && m_undecoded.empty() && !awaitsFirstRequest()) {
         linger();
     }
 }
 
+/** The first request usually follows the connection at once; it gets a refusal rather than a closed connection. */
+bool CallerConnection::awaitsFirstRequest() const
+{
+    return !m_hasHadRequest && m_now - m_since < firstRequestTime;
+}
+
 void CallerConnection::setHandlers(CallerHandlers handlers)
 {
     m_handlers = std::move(handlers);
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -103,6 +103,7 @@
     void write(std::string_view bytes);
     void waitWritable();
     void finishResponse();
+    bool awaitsFirstRequest() const;
     void linger();
     void onDisconnect();
     void applyLimits();
@@ -131,6 +132,7 @@
     bool m_closesAfterResponse = false;
     bool m_isResponseEnded = false; ///< The complete response has been passed to the writer.
     bool m_isDraining = false;
+    bool m_hasHadRequest = false; ///< Bytes of a request have arrived.
     bool m_isHeadRequest = false;
     std::array<char, 8192> m_buffer{};
 };
--- a/tests/process_planned_stop_test.cpp
+++ b/tests/process_planned_stop_test.cpp
@@ -115,6 +115,8 @@
             return a.sentAt < b.sentAt;
         });
         m_gateway->process().signal(SIGTERM);
+        while (m_gateway->readiness() == 200) { // Until it has noticed; a request from before may be cut at the end.
+        }
         const auto start = std::chrono::steady_clock::now();
         for (auto &it : clients) {
             runUntil(start + it.sentAt);
